--- a/heaththread/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""heaththread: admission decisions for queries on a pool of engines."""
-
-from heaththread.decide import Gateway
-
-__all__ = ["Gateway"]
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from heaththread import interface as api
 from tests.helpers import COLD, Bench, make_settings, only
+from umberusher import interface as api
 
 
 def drive(bench: Bench, count: int, bad=frozenset(), gap: float = 50.0, elapsed: float = 100.0) -> list[str]:
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from heaththread import interface as api
 from tests.helpers import Bench, make_settings, only
+from umberusher import interface as api
 
 
 def grants(bench: Bench, spills: bool) -> list[float]:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from heaththread import interface as api
-from heaththread.decide import Gateway
 from tests.helpers import COLD, Bench, make_settings, only
+from umberusher import interface as api
+from umberusher.decide import Gateway
 
 
 def test_an_idle_gateway_asks_for_no_timer():
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,9 +6,9 @@
 from hypothesis import HealthCheck, given, seed, settings
 from hypothesis import strategies as st
 
-from heaththread import interface as api
-from heaththread.decide import Gateway
 from tests.helpers import COLD, make_settings
+from umberusher import interface as api
+from umberusher.decide import Gateway
 
 CLASSES = (
     api.QueryClass("safe", 500, 4000, 1, api.Effect.SAFE, late_worth=0.3),
--- a/heaththread/decide.py
+++ b/umberusher/decide.py
@@ -1,4 +1,4 @@
-"""Every decision of heaththread. Types, events and actions stand in ``heaththread/interface.py``.
+"""Every decision of umberusher. Types, events and actions stand in ``umberusher/interface.py``.
 
 The mechanism is that of "Dynamic Scope of Control in Decentralized Job Scheduling"; ``docs/design.md``
 tells what was kept of it, what was added, and when each addition acts.
@@ -13,8 +13,8 @@
 from collections import Counter, deque
 from itertools import islice
 
-from heaththread import interface as api
-from heaththread.interface import Effect, Ending, EngineState, NewsKind, QueryClass, Scope
+from umberusher import interface as api
+from umberusher.interface import Effect, Ending, EngineState, NewsKind, QueryClass, Scope
 
 # -- The mechanism (shares, no unit)
 OTHERS_MS = 1_000.0  # time over which reports are averaged into what other gateways hold; one is noisy
--- a/heaththread/wire.py
+++ b/umberusher/wire.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from heaththread import interface as api
+from umberusher import interface as api
 
 
 class WireError(Exception):
--- a/heaththread/wirehost.py
+++ b/umberusher/wirehost.py
@@ -1,4 +1,4 @@
-"""The process loop: batches in on standard input, replies out. ``python -m heaththread.wirehost``."""
+"""The process loop: batches in on standard input, replies out. ``python -m umberusher.wirehost``."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 from collections.abc import Iterable
 from typing import TextIO
 
-from heaththread import interface as api
-from heaththread import wire
-from heaththread.decide import Gateway
+from umberusher import interface as api
+from umberusher import wire
+from umberusher.decide import Gateway
 
 
 class Host:
@@ -112,7 +112,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except (wire.WireError, UnicodeDecodeError) as error:
-        print(f"heaththread: malformed input: {error}", file=sys.stderr)
+        print(f"umberusher: malformed input: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
