--- a/umberusher/__init__.py
+++ b/umberusher/__init__.py
@@ -3,3 +3,4 @@
 from umberusher.decide import Gateway
 
 __all__ = ["Gateway"]
+__version__ = "0.1.0"
--- /dev/null
+++ b/umberusher/__main__.py
@@ -0,0 +1,7 @@
+"""``python -m umberusher``."""
+
+import sys
+
+from umberusher.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/umberusher/broker.py
@@ -0,0 +1,161 @@
+"""The broker: owns the Gateway, feeds it one event at a time and carries out its actions."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import os
+import time
+from collections import deque
+from collections.abc import Callable
+
+from umberusher import interface as api
+from umberusher.config import Config
+from umberusher.decide import Gateway
+from umberusher.net.loop import Loop
+from umberusher.noticeboard import NoticeBoard
+from umberusher.stages.admit import Admit
+from umberusher.stages.book import Book
+from umberusher.stages.relay import Relay
+from umberusher.stages.route import Route
+from umberusher.stages.send import Send
+from umberusher.stages.take_in import TakeIn
+
+log = logging.getLogger(__name__)
+RESERVED = 24  # descriptors for the listener, the loop, the notice board and the standard streams
+ENGINE_PART = 0.3  # of the others, those kept for engines
+SWEEP_MS = 100.0
+TIGHT_PART = 0.75  # of the memory limit, above which nothing more is taken
+LINGER_S = 1.0  # after SIGTERM new requests go on coming for 0.6 s
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+def resident_mb() -> float:
+    """Memory that this process holds."""
+    with open("/proc/self/statm", encoding="ascii") as source:
+        return int(source.read().split()[1]) * PAGE / 1e6
+
+
+class Broker:
+    """One broker, wired together."""
+
+    def __init__(self, config: Config, loop: Loop | None = None,
+                 clock: Callable[[], float] = time.time) -> None:
+        self.config, self.loop, self.clock = config, loop or Loop(), clock
+        self.gateway = Gateway(config.settings, config.seed)
+        self.queue: deque[api.Event] = deque()
+        self.pumping = False
+        self.stopping_at: float | None = None
+        limits = config.settings.limits
+        descriptors = config.sockets - RESERVED
+        for_engines = int(descriptors * ENGINE_PART)
+        self.book = Book(self.post, self.now_ms)
+        self.route = Route(self.post)
+        self.relay = Relay(self.book, self.post)
+        self.send = Send(self.loop, self.route, self.book, self.relay, self.now_ms, self.post,
+                         multiplex=config.multiplex, connect_timeout_ms=config.connect_timeout_ms,
+                         keepalive_ms=config.keepalive_ms, most=for_engines)
+        self.admit = Admit(self.book, self.send, self.post, config.max_open,
+                           limits.max_retry_after_ms if limits.retry_after else None)
+        self.front = TakeIn(self.loop, self.admit, self.now_ms, self.good, descriptors - for_engines)
+        self.board = NoticeBoard(self.loop, config.board, lambda: self.route.rev, self.route.take)
+        self.carry: dict[type, Callable[..., None]] = {
+            api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self.book.refuse,
+            api.Fail: self.book.fail, api.Probe: lambda a: self.send.probe(a.engine),
+            api.SetTimer: self._set_timer, api.CloseIdle: lambda a: self.send.close_idle(a.engine),
+            api.Remark: lambda a: log.info("module: %s", a.text)}
+
+    def now_ms(self) -> float:
+        """The Unix clock."""
+        return self.clock() * 1000.0
+
+    def good(self) -> bool:
+        """Whether clients should come: the list is in, and the broker is not about to end."""
+        return bool(self.route.members) and self.stopping_at is None
+
+    # -- The module
+
+    def post(self, event: api.Event) -> None:
+        """Give the module an event; one that arises while actions are carried out waits its turn."""
+        self.queue.append(event)
+        if self.pumping:
+            return
+        self.pumping = True
+        try:
+            while self.queue:
+                self._handle(self.queue.popleft())
+        finally:
+            self.pumping = False
+
+    def _handle(self, event: api.Event) -> None:
+        try:
+            actions = self.gateway.handle(self.now_ms(), event)
+        except Exception:
+            # Guards against a fault of the module on one event: the request that it was about still gets its answer.
+            log.exception("the module failed on %s", type(event).__name__)
+            actions = [api.Fail(event.request)] if isinstance(event, api.Arrival) else []
+        for action in actions:
+            carry = self.carry.get(type(action))
+            if carry:
+                carry(action)
+            else:
+                log.debug("not carried out here: %s", type(action).__name__)
+        self.book.forget(event)
+
+    def _send(self, action: api.Send) -> None:
+        ticket = self.book.tickets.get(action.request)
+        if ticket is None:
+            log.error("the module sent %s, which is not open", action.request)
+            return
+        self.send.start(ticket, action.engine, action.timeout_ms)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        ticket = self.book.tickets.get(action.request)
+        if ticket and ticket.attempt and ticket.attempt.number == action.attempt:
+            self.send.give_up(ticket.attempt, api.Ending.CANCELLED)
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        self.loop.call_later(action.delay_ms, lambda: self.post(api.TimerFired(action.token)))
+
+    # -- Start and end
+
+    def start(self) -> None:
+        """Listen, take the known list and follow the notice board."""
+        self.post(api.Boot())
+        for notice in self.config.known:
+            self.route.take(notice)
+        self.front.listen(self.config.listen)
+        self.board.start()
+        self._sweep()
+
+    def stop(self) -> None:
+        """Begin to end; safe to call from a signal handler."""
+        if self.stopping_at is None:
+            self.stopping_at = self.clock()
+
+    def _sweep(self) -> None:
+        self.send.close_idle()
+        held = resident_mb()
+        # Guards against being killed for memory: nothing more is taken until it falls.
+        self.admit.tight = held > TIGHT_PART * self.config.memory_mb
+        if (self.stopping_at is not None and self.clock() - self.stopping_at > LINGER_S
+                and self.front.idle and not self.queue):
+            self.loop.running = False
+            return
+        self.loop.call_later(SWEEP_MS, self._sweep)
+
+    def run(self) -> None:
+        """Serve until stopped and all that was taken is answered."""
+        self.start()
+        log.info("%s listens on %s:%d", self.config.name, *self.config.listen)
+        gc.freeze()
+        self.loop.run()
+        self.close()
+        log.info("ends: %s", dict(self.book.counts))
+
+    def close(self) -> None:
+        """Give all descriptors back."""
+        self.front.close()
+        self.board.close()
+        self.send.close()
+        self.loop.close()
--- /dev/null
+++ b/umberusher/cli.py
@@ -0,0 +1,71 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import os
+import signal
+import sys
+from importlib import metadata
+
+from umberusher.broker import Broker
+from umberusher.config import Config, ConfigError, load
+
+
+def _config() -> Config:
+    return load(os.environ)
+
+
+def serve(args: argparse.Namespace) -> int:
+    """Run one broker until SIGTERM."""
+    config = _config()
+    logging.basicConfig(stream=sys.stderr, level=args.log_level.upper(),
+                        format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    broker = Broker(config)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: broker.stop())
+    signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+    try:
+        broker.run()
+    except OSError as error:
+        print(f"umberusher: {config.listen[0]}:{config.listen[1]}: {error.strerror}", file=sys.stderr)
+        return 1
+    return 0
+
+
+def version(_: argparse.Namespace) -> int:
+    """Print the version."""
+    try:
+        print(f"umberusher {metadata.version('umberusher')}")
+    except metadata.PackageNotFoundError:  # run from a checkout
+        from umberusher import __version__
+        print(f"umberusher {__version__}")
+    return 0
+
+
+def check_config(_: argparse.Namespace) -> int:
+    """Read the configuration and say what it holds."""
+    config = _config()
+    engines = {entry.engine for notice in config.known for entry in notice.entries}
+    print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, {len(engines)} engines known, "
+          f"{len(config.settings.classes)} classes, {config.memory_mb:g} MB, {config.sockets} descriptors")
+    return 0
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Parse the command line and run."""
+    parser = argparse.ArgumentParser(prog="umberusher", description="A broker for queries on a fleet of engines.")
+    commands = parser.add_subparsers(dest="command", required=True)
+    run = commands.add_parser("serve", help="run one broker until SIGTERM")
+    run.add_argument("--log-level", default="info", choices=["debug", "info", "warning", "error"])
+    run.set_defaults(call=serve)
+    commands.add_parser("version", help="print the version").set_defaults(call=version)
+    commands.add_parser("check-config", help="read the configuration and say what it holds").set_defaults(
+        call=check_config)
+    args = parser.parse_args(argv)
+    try:
+        return args.call(args)
+    except ConfigError as error:
+        print(f"umberusher: configuration: {error}", file=sys.stderr)
+        return 2
--- /dev/null
+++ b/umberusher/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: the epoll loop, ring buffers and connections."""
--- /dev/null
+++ b/umberusher/net/loop.py
@@ -0,0 +1,124 @@
+"""One thread's event loop: select.epoll, generators as coroutines, and timers.
+
+A coroutine yields a :class:`Wait` and is resumed with the events that came, 0 when its time ran out.
+The loop keeps at most one coroutine per descriptor.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+import select
+import time
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+
+READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Wait:
+    """What a coroutine waits for: events of a descriptor."""
+
+    fd: int
+    events: int
+
+
+Coroutine = Generator[Wait, int, None]
+
+
+class Timer:
+    """A call planned for later; it can be called off."""
+
+    __slots__ = ("call", "when")
+
+    def __init__(self, when: float, call: Callable[[], None]) -> None:
+        self.when, self.call = when, call
+
+    def cancel(self) -> None:
+        """Call it off; harmless once it has fired."""
+        self.call = None
+
+
+class Loop:
+    """Runs coroutines and timers until it is stopped."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
+        self.epoll = select.epoll()
+        self._parked: dict[int, Coroutine] = {}
+        self._masks: dict[int, int] = {}
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._count = 0
+        self.running = False
+
+    def call_later(self, delay_ms: float, call: Callable[[], None]) -> Timer:
+        """Plan a call."""
+        timer = Timer(self.clock() + max(delay_ms, 0.0) / 1000.0, call)
+        self._count += 1
+        heapq.heappush(self._timers, (timer.when, self._count, timer))
+        return timer
+
+    def spawn(self, coroutine: Coroutine) -> None:
+        """Start a coroutine; it runs up to its first wait at once."""
+        self._resume(coroutine, None)
+
+    def _resume(self, coroutine: Coroutine, value: int | None) -> None:
+        try:
+            wait = coroutine.send(value)
+        except StopIteration:
+            return
+        except Exception:  # the last fence: a fault of one connection must not end the broker
+            log.exception("a coroutine failed")
+            return
+        self._parked[wait.fd] = coroutine
+        self.watch(wait.fd, wait.events)
+
+    def watch(self, fd: int, events: int) -> None:
+        """Change what a parked coroutine waits for."""
+        known = self._masks.get(fd)
+        if known is None:
+            self.epoll.register(fd, events)
+        elif known != events:
+            self.epoll.modify(fd, events)
+        self._masks[fd] = events
+
+    def forget(self, fd: int) -> None:
+        """Drop a descriptor that is about to be closed, with the coroutine parked on it."""
+        if self._masks.pop(fd, None) is not None:
+            self.epoll.unregister(fd)
+        self._parked.pop(fd, None)
+
+    def step(self, longest_ms: float = 1000.0) -> None:
+        """Wait for events or the next timer, then run what is ready."""
+        while self._timers and self._timers[0][2].call is None:
+            heapq.heappop(self._timers)
+        timeout = longest_ms / 1000.0
+        if self._timers:
+            timeout = min(timeout, max(self._timers[0][0] - self.clock(), 0.0))
+        for fd, events in self.epoll.poll(timeout):
+            coroutine = self._parked.pop(fd, None)
+            if coroutine is not None:  # an earlier one of this round may have closed it
+                self._resume(coroutine, events)
+        self._fire()
+
+    def _fire(self) -> None:
+        now = self.clock()
+        while self._timers and self._timers[0][0] <= now:
+            call = heapq.heappop(self._timers)[2].call
+            if call is not None:
+                try:
+                    call()
+                except Exception:
+                    log.exception("a timer failed")
+
+    def run(self) -> None:
+        """Run until ``running`` is cleared."""
+        self.running = True
+        while self.running:
+            self.step()
+
+    def close(self) -> None:
+        """Give the epoll descriptor back."""
+        self.epoll.close()
--- /dev/null
+++ b/umberusher/net/ring.py
@@ -0,0 +1,109 @@
+"""A bounded ring buffer of bytes, one for each direction of a connection."""
+
+from __future__ import annotations
+
+import socket
+
+FIRST = 4096  # bytes a ring starts with
+KEPT = 65536  # an empty ring that grew past this gives the memory back
+
+
+class Ring:
+    """Bytes in order, at most ``limit`` of them; grows by doubling as it needs to."""
+
+    def __init__(self, limit: int, first: int = FIRST) -> None:
+        self.limit = limit
+        self._first = min(first, limit)
+        self._data = bytearray(self._first)
+        self._head = self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    @property
+    def room(self) -> int:
+        """How many more bytes it takes."""
+        return self.limit - self._size
+
+    @property
+    def held(self) -> int:
+        """Memory that it holds now."""
+        return len(self._data)
+
+    def _reserve(self, size: int) -> None:
+        """Make place for ``size`` bytes in all."""
+        capacity = len(self._data)
+        if size <= capacity:
+            return
+        while capacity < size:
+            capacity *= 2
+        grown = bytearray(min(capacity, self.limit))
+        grown[:self._size] = self.peek(self._size)
+        self._data, self._head = grown, 0
+
+    def _spans(self, start: int, size: int) -> list[tuple[int, int]]:
+        """Where ``size`` bytes from ``start`` on lie: one stretch, or two where they wrap."""
+        capacity = len(self._data)
+        start %= capacity
+        end = start + size
+        if end <= capacity:
+            return [(start, end)] if size else []
+        return [(start, capacity), (0, end - capacity)]
+
+    def write(self, data: bytes) -> bool:
+        """Append all of ``data``; False, and nothing taken, where it does not fit."""
+        if len(data) > self.room:
+            return False
+        self._reserve(self._size + len(data))
+        at = 0
+        for low, high in self._spans(self._head + self._size, len(data)):
+            self._data[low:high] = data[at:at + high - low]
+            at += high - low
+        self._size += len(data)
+        return True
+
+    def fill(self, sock: socket.socket) -> int:
+        """Read from a socket once; 0 at its end, and only where there is room for more."""
+        if self._size == len(self._data):
+            self._reserve(self._size + 1)
+        low, high = self._spans(self._head + self._size, len(self._data) - self._size)[0]
+        with memoryview(self._data) as view:
+            count = sock.recv_into(view[low:high])
+        self._size += count
+        return count
+
+    def flush(self, sock: socket.socket) -> int:
+        """Write to a socket once what lies in one stretch."""
+        low, high = self._spans(self._head, self._size)[0]
+        with memoryview(self._data) as view:
+            count = sock.send(view[low:high])
+        self.skip(count)
+        return count
+
+    def peek(self, size: int, start: int = 0) -> bytes:
+        """A copy of ``size`` bytes from ``start`` on, left in place."""
+        return b"".join(self._data[low:high] for low, high in self._spans(self._head + start, size))
+
+    def skip(self, size: int) -> None:
+        """Drop the first ``size`` bytes."""
+        self._head = (self._head + size) % len(self._data)
+        self._size -= size
+        if not self._size:
+            self._head = 0
+            if len(self._data) > KEPT:
+                self._data = bytearray(self._first)
+
+    def take(self, size: int) -> bytes:
+        """The first ``size`` bytes, which are dropped."""
+        data = self.peek(size)
+        self.skip(size)
+        return data
+
+    def find(self, mark: bytes, limit: int) -> int:
+        """Where ``mark`` first stands within the first ``limit`` bytes, or -1."""
+        size = min(self._size, limit)
+        spans = self._spans(self._head, size)
+        if len(spans) == 1:
+            at = self._data.find(mark, *spans[0])
+            return at - spans[0][0] if at >= 0 else -1
+        return self.peek(size).find(mark)
--- /dev/null
+++ b/umberusher/noticeboard.py
@@ -0,0 +1,84 @@
+"""Keeps one long poll at the notice board outstanding, and notices when the board has gone silent."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from umberusher.net import connection
+from umberusher.net.connection import Connection, Raw, State
+from umberusher.net.loop import Loop
+from umberusher.protocol.board import BoardFault, Notice, PollClient, notices
+
+log = logging.getLogger(__name__)
+LINGER_MS = 2_000  # of one poll: what the board tells counts as told after 7 s, so silence must show long before
+SILENT_MS = 700.0  # beyond that an answer is not coming any more
+RETRY_MS, RETRY_MOST_MS = 50.0, 800.0  # wait before a new connection, doubling
+BUFFER = 1 << 16
+
+
+class NoticeBoard:
+    """The broker's side of the board."""
+
+    def __init__(self, loop: Loop, address: tuple[str, int], rev: Callable[[], int],
+                 take: Callable[[Notice], None]) -> None:
+        self.loop, self.address, self.rev, self.take = loop, address, rev, take
+        self.retry_ms = RETRY_MS
+        self.conn: Connection | None = None
+        self.closed = False
+
+    def start(self) -> None:
+        """Connect and ask."""
+        if self.closed:
+            return
+        conn = connection.connect(self.loop, self.address, BUFFER, BUFFER)
+        if isinstance(conn, str):
+            self._later(conn)
+            return
+        self.conn, self.client = conn, PollClient(f"{self.address[0]}:{self.address[1]}")
+        conn.on_open, conn.on_data, conn.on_closed = self._ask, self._data, self._later
+        self.timer = self.loop.call_later(SILENT_MS, lambda: conn.close("silent"))
+        self.loop.spawn(conn.serve())
+
+    def _later(self, why: str) -> None:
+        if self.conn:
+            self.timer.cancel()
+            self.conn = None
+        if not self.closed:
+            log.warning("notice board: %s", why)
+            self.loop.call_later(self.retry_ms, self.start)
+            self.retry_ms = min(2 * self.retry_ms, RETRY_MOST_MS)
+
+    def _ask(self) -> None:
+        conn = self.conn
+        if conn is None or conn.state is not State.OPEN:
+            return
+        self.timer.cancel()
+        # Guards against a board that is cut off: its connection stays open and says nothing.
+        self.timer = self.loop.call_later(LINGER_MS + SILENT_MS, lambda: conn.close("silent"))
+        conn.send(Raw(self.client.poll(self.rev(), LINGER_MS)))
+
+    def _data(self) -> None:
+        conn = self.conn
+        answer = self.client.feed(conn.inbound.take(len(conn.inbound)))
+        if answer is None:
+            return
+        found = answer if isinstance(answer, BoardFault) else notices(answer, self.rev())
+        if isinstance(found, BoardFault):
+            conn.close(found.why)
+            return
+        self.retry_ms = RETRY_MS
+        for notice in found:
+            self.take(notice)
+        if not self.client.reusable:
+            conn.close("not kept open")
+        else:
+            self._ask()
+
+    def close(self) -> None:
+        """End it."""
+        self.closed = True
+        if self.conn:
+            self.conn.close("the broker ends")
+
+
--- /dev/null
+++ b/umberusher/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs without I/O: bytes in, values out, and back."""
--- /dev/null
+++ b/umberusher/protocol/engine.py
@@ -0,0 +1,98 @@
+"""The engines' codec: lines of words, with a body where the last word is its length."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from umberusher import interface as api
+from umberusher import wire
+from umberusher.net.ring import Ring
+
+MAX_LINE = 4096
+MAX_BODY = 1 << 17  # a page holds 6,000 bytes; more than this is no answer
+# Report fields by the operators' words; the settings may name them by the wire's instead.
+REPORT = wire.REPORT | {"inflight": "held", "queue": "waiting", "util": "busy", "latency_ms": "service_ms",
+                        "qps": "served_per_s", "eps": "errors_per_s"}
+NOTES = {"done": api.NewsKind.PROGRESS, "spills": api.NewsKind.SPILL, "waits": api.NewsKind.WAIT}
+
+
+@dataclass(slots=True)
+class Reply:
+    """One answer of an engine."""
+
+    id: str
+    word: str
+    fields: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class Unreadable:
+    """The connection's bytes make no sense any more."""
+
+    why: str
+
+
+def request(rid: str, lane: str, ttl_ms: float, statement: bytes) -> bytes:
+    """REQ: puts a query on the engine."""
+    return f"REQ {rid} lane={lane},ttl={max(int(ttl_ms), 1)} {len(statement)}\r\n".encode() + statement + b"\r\n"
+
+
+def command(word: str, *words: object) -> bytes:
+    """A line without a body: STOP, FETCH, END, HELO, STAT."""
+    return " ".join([word, *map(str, words)]).encode() + b"\r\n"
+
+
+def _fields(text: str) -> dict[str, str]:
+    if text == "-":
+        return {}
+    return {key: value for key, _, value in (pair.partition("=") for pair in text.split(","))}
+
+
+def next_reply(ring: Ring) -> Reply | Unreadable | None:
+    """The next whole answer; None while more bytes are needed."""
+    end = ring.find(b"\r\n", MAX_LINE)
+    if end < 0:
+        return Unreadable("line too long") if len(ring) >= MAX_LINE else None
+    try:
+        words = ring.peek(end).decode("ascii").split()
+    except UnicodeDecodeError:
+        return Unreadable("line is not text")
+    if len(words) < 2:
+        return Unreadable("line of fewer than two words")
+    if len(words) < 3 or not words[-1].isdigit():
+        ring.skip(end + 2)
+        return Reply(words[0], words[1], _fields(words[2]) if len(words) > 2 else {}, b"")
+    size = int(words[-1])
+    if size > MAX_BODY:
+        return Unreadable(f"body of {size} bytes")
+    if len(ring) < end + 2 + size + 2:
+        return None
+    ring.skip(end + 2)
+    body = ring.take(size)
+    if ring.take(2) != b"\r\n":
+        return Unreadable("body not closed by CR LF")
+    return Reply(words[0], words[1], _fields(words[2]) if len(words) > 3 else {}, body)
+
+
+def report(fields: dict[str, str]) -> api.LoadReport | None:
+    """The load report in ``rep``, where there is one that can be read."""
+    found = api.LoadReport()
+    seen = False
+    for pair in fields.get("rep", "").split(";"):
+        name, _, value = pair.partition(":")
+        if name in REPORT:
+            try:
+                setattr(found, REPORT[name], float(value))
+            except ValueError:
+                continue
+            seen = True
+    return found if seen else None
+
+
+def note(fields: dict[str, str]) -> tuple[api.NewsKind, float] | None:
+    """The note of an INFO, where there is one."""
+    try:
+        return NOTES[fields["why"]], float(fields["reading"])
+    except (KeyError, ValueError):
+        return None
--- /dev/null
+++ b/umberusher/stages/admit.py
@@ -0,0 +1,46 @@
+"""Admit: hands a ticket to the decisions, or turns it away where the broker itself is at its limits."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from umberusher import interface as api
+from umberusher.stages.book import Book
+from umberusher.stages.send import Send
+from umberusher.ticket import Ticket
+
+log = logging.getLogger(__name__)
+
+
+class Admit:
+    """The door to the decisions."""
+
+    def __init__(self, book: Book, send: Send, post: Callable[[api.Event], None], most: int,
+                 backoff_ms: float | None) -> None:
+        self.book, self.send, self.post, self.most, self.backoff_ms = book, send, post, most, backoff_ms
+        self.tight = False  # memory is near its limit
+
+    def take(self, ticket: Ticket) -> None:
+        """Take a ticket: from here on one final answer is owed."""
+        if ticket.rid in self.book.tickets:
+            # Guards against an id that is open already: the decisions would take both for one request.
+            log.warning("request %s is open already", ticket.rid)
+            ticket.open = False
+            ticket.caller.failed("this id is open already")
+        elif self.tight or len(self.book.tickets) >= self.most:
+            log.warning("request refused: the broker is at its limits")
+            ticket.open = False
+            ticket.caller.refused(self.backoff_ms)
+        else:
+            self.book.tickets[ticket.rid] = ticket
+            self.post(ticket.arrival)
+
+    def leave(self, ticket: Ticket) -> None:
+        """The client waits no more: nothing is owed, and what is out is given up."""
+        if not ticket.open:
+            return
+        ticket.open = False
+        self.post(api.ClientLeft(ticket.rid))
+        if ticket.attempt:
+            self.send.give_up(ticket.attempt, api.Ending.CANCELLED)
--- /dev/null
+++ b/umberusher/stages/book.py
@@ -0,0 +1,89 @@
+"""Book: one final answer for each ticket, one ending for each attempt, and the counts of both."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+
+from umberusher import interface as api
+from umberusher.interface import Ending
+from umberusher.ticket import Attempt, Fault, Reach, Ticket
+
+log = logging.getLogger(__name__)
+
+
+def ending_of(fault: Fault) -> Ending:
+    """A fault as the decisions know it. Nothing that may have run is called never-run."""
+    if fault.never_ran:
+        return Ending.NO_CONNECTION
+    return Ending.RESET if fault.reach is Reach.WHOLE else Ending.ERROR
+
+
+class Book:
+    """The open tickets and what became of all."""
+
+    def __init__(self, post: Callable[[api.Event], None], now_ms: Callable[[], float]) -> None:
+        self.post, self.now_ms = post, now_ms
+        self.tickets: dict[str, Ticket] = {}
+        self.counts: Counter[str] = Counter()
+
+    # -- Endings of attempts
+
+    def ended(self, attempt: Attempt, ending: Ending, report: api.LoadReport | None = None) -> None:
+        """The one ending of an attempt."""
+        if attempt.ended:
+            return
+        attempt.ended = True
+        if attempt.timer:
+            attempt.timer.cancel()
+        if attempt.link:
+            attempt.link.release(attempt)
+        if attempt.ticket.attempt is attempt:
+            attempt.ticket.attempt = None
+        attempt.pages = {}
+        self.counts[f"attempt {ending.value}"] += 1
+        self.post(api.AttemptEnded(
+            attempt.ticket.rid, attempt.number, attempt.engine, ending, self.now_ms() - attempt.began_ms,
+            closed=not attempt.ticket.open, report=report))
+
+    def faulted(self, attempt: Attempt, fault: Fault, report: api.LoadReport | None = None) -> None:
+        """An attempt ended with a fault."""
+        if not attempt.ended:
+            log.info("attempt %s/%d at %s: %s after %s, page %d", attempt.ticket.rid, attempt.number,
+                     attempt.engine, fault.why, fault.reach.name, fault.page)
+        self.ended(attempt, ending_of(fault), report)
+
+    def served(self, attempt: Attempt, rows: bytes, report: api.LoadReport | None) -> None:
+        """The whole result is here: the client's answer, then the ending."""
+        ticket = attempt.ticket
+        if ticket.open and not attempt.ended:
+            ticket.open = False
+            self.counts["served"] += 1
+            ticket.caller.served(rows)
+        self.ended(attempt, Ending.SERVED, report)
+
+    # -- Final answers of the module
+
+    def refuse(self, action: api.Refuse) -> None:
+        """Refused, with the time to stay away."""
+        ticket = self.tickets.pop(action.request, None)
+        if ticket and ticket.open:
+            ticket.open = False
+            self.counts["refused"] += 1
+            ticket.caller.refused(action.retry_after_ms)
+
+    def fail(self, action: api.Fail) -> None:
+        """Failed."""
+        ticket = self.tickets.pop(action.request, None)
+        if ticket and ticket.open:
+            ticket.open = False
+            self.counts["failed"] += 1
+            ticket.caller.failed("failed")
+
+    def forget(self, event: api.Event) -> None:
+        """Drop a ticket once the decisions have heard that it is over."""
+        if isinstance(event, api.ClientLeft) or isinstance(event, api.AttemptEnded) and event.closed:
+            ticket = self.tickets.get(event.request)
+            if ticket and not ticket.open:
+                del self.tickets[event.request]
--- /dev/null
+++ b/umberusher/stages/relay.py
@@ -0,0 +1,90 @@
+"""Relay: an engine's answers as outcomes; a result counts only once all its pages are here, in order."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from umberusher import interface as api
+from umberusher.interface import Ending
+from umberusher.protocol import engine as codec
+from umberusher.stages.book import Book
+from umberusher.ticket import Attempt, Fault, Reach
+
+log = logging.getLogger(__name__)
+MAX_PAGES = 1024
+MAX_RESULT = 1 << 19  # bytes; a result holds 48,000 at the most
+
+
+class Relay:
+    """Reads the answers to attempts."""
+
+    def __init__(self, book: Book, post: Callable[[api.Event], None]) -> None:
+        self.book, self.post = book, post
+
+    def take(self, attempt: Attempt, reply: codec.Reply) -> None:
+        """One answer that belongs to an attempt."""
+        if reply.word == "INFO":
+            self._note(attempt, reply)
+        elif reply.word == "HIT" and not attempt.count:
+            self._first(attempt, reply)
+        elif reply.word == "PART" and attempt.count:
+            self._part(attempt, reply)
+        elif reply.word in ("SHED", "LATE") and not attempt.count:
+            self.book.ended(attempt, Ending.FULL, codec.report(reply.fields))
+        elif reply.word == "FAULT":
+            self._lost(attempt, "the engine answered with an error", reply)
+        else:
+            log.warning("engine %s: unexpected %s", attempt.engine, reply.word[:20])
+
+    def _note(self, attempt: Attempt, reply: codec.Reply) -> None:
+        found = codec.note(reply.fields)
+        if found:
+            self.post(api.AttemptNews(attempt.ticket.rid, attempt.number, attempt.engine, *found))
+
+    def _lost(self, attempt: Attempt, why: str, reply: codec.Reply) -> None:
+        """It may have run; with pages under way the result is lost."""
+        reach = Reach.PAGE if attempt.pages else Reach.ANSWERED
+        if attempt.link:
+            attempt.link.tell("END", attempt.ticket.rid)
+        self.book.faulted(attempt, Fault(reach, why, len(attempt.pages)), codec.report(reply.fields))
+
+    def _first(self, attempt: Attempt, reply: codec.Reply) -> None:
+        text = reply.fields.get("count", "1")
+        count = int(text) if text.isdigit() else 0
+        if not 0 < count <= MAX_PAGES:
+            self._lost(attempt, f"a result of {text[:20]} pages", reply)
+            return
+        attempt.count, attempt.reach = count, Reach.ANSWERED
+        self._page(attempt, 0, reply)
+        if attempt.ticket.open and not attempt.ended:
+            for number in range(1, count):  # all at once: each would cost a round trip of its own
+                attempt.link.tell("FETCH", attempt.ticket.rid, number)
+        elif not attempt.ended:  # answered while it ran: nobody wants the rest
+            self._done(attempt, reply)
+
+    def _part(self, attempt: Attempt, reply: codec.Reply) -> None:
+        text = reply.fields.get("pos", "")
+        number = int(text) if text.isdigit() else 0
+        if not 0 < number < attempt.count:
+            self._lost(attempt, f"a page numbered {text[:20]!r}", reply)
+        elif number not in attempt.pages:
+            attempt.reach = Reach.PAGE
+            self._page(attempt, number, reply)
+
+    def _page(self, attempt: Attempt, number: int, reply: codec.Reply) -> None:
+        attempt.pages[number] = reply.body
+        attempt.size += len(reply.body)
+        if attempt.size > MAX_RESULT:
+            self._lost(attempt, "a result too large", reply)
+        elif len(attempt.pages) == attempt.count:
+            self._done(attempt, reply)
+
+    def _done(self, attempt: Attempt, reply: codec.Reply) -> None:
+        """END goes first, so that the engine is free of it before the decisions hear of the outcome."""
+        attempt.link.tell("END", attempt.ticket.rid)
+        if attempt.ticket.open:
+            rows = b"".join(attempt.pages[number] for number in range(attempt.count))
+            self.book.served(attempt, rows, codec.report(reply.fields))
+        else:
+            self.book.ended(attempt, Ending.SERVED, codec.report(reply.fields))
--- /dev/null
+++ b/umberusher/stages/send.py
@@ -0,0 +1,276 @@
+"""Send: connections to engines, attempts and probes on them, and giving up."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from umberusher import interface as api
+from umberusher.interface import Ending
+from umberusher.net import connection
+from umberusher.net.connection import Connection, Raw, State
+from umberusher.net.loop import Loop, Timer
+from umberusher.protocol import engine as codec
+from umberusher.stages.book import Book
+from umberusher.stages.relay import Relay
+from umberusher.stages.route import Member, Route
+from umberusher.ticket import Attempt, Fault, Reach, Ticket
+
+log = logging.getLogger(__name__)
+INBOUND = codec.MAX_LINE + codec.MAX_BODY + 2
+OUTBOUND = (1 << 20) + codec.MAX_LINE  # the largest statement with its line
+PROBE_MS = 2_000.0  # a probe that has brought nothing by then brings nothing
+IDLE_MARGIN_MS = 1_000.0  # a connection this near to idling out is not used again
+RETIRED_MOST = 256  # given-up ids remembered for a connection; then it takes no more
+
+
+@dataclass(slots=True, eq=False)
+class Outgoing:
+    """An attempt as a message: made into bytes only when its turn has come."""
+
+    attempt: Attempt
+    now_ms: Callable[[], float]
+
+    def encode(self) -> bytes:
+        """REQ, with the time that is left now."""
+        attempt = self.attempt
+        attempt.reach = Reach.PARTLY_WRITTEN
+        return codec.request(attempt.ticket.rid, attempt.ticket.arrival.query_class,
+                             attempt.until_ms - self.now_ms(), attempt.ticket.statement)
+
+    def written(self) -> None:
+        """The engine may have it whole from now on."""
+        self.attempt.reach = max(self.attempt.reach, Reach.WHOLE)
+
+
+@dataclass(slots=True, eq=False)
+class Probing:
+    """A probe that is out."""
+
+    engine: str
+    began_ms: float
+    link: Link
+    timer: Timer | None = None
+
+
+class Link:
+    """One connection to an engine with the attempts and probes it carries."""
+
+    def __init__(self, send: Send, engine: str, conn: Connection) -> None:
+        self.owner, self.engine, self.conn = send, engine, conn
+        self.attempts: dict[str, Attempt] = {}
+        self.messages: dict[str, Outgoing] = {}
+        self.probes: dict[str, Probing] = {}
+        self.retired: set[str] = set()  # ids given up here: late lines of theirs may still come
+        self.used_ms = send.now_ms()
+        conn.on_open, conn.on_data, conn.on_closed = self._opened, self._data, self._closed
+        self.timer = send.loop.call_later(send.connect_timeout_ms, self._too_slow)
+
+    def _opened(self) -> None:
+        self.timer.cancel()
+        for attempt in self.attempts.values():
+            attempt.reach = max(attempt.reach, Reach.NOT_WRITTEN)
+
+    def _too_slow(self) -> None:
+        self.conn.close("connect: timed out")
+
+    def _data(self) -> None:
+        self.used_ms = self.owner.now_ms()
+        while self.conn.state is State.OPEN:
+            reply = codec.next_reply(self.conn.inbound)
+            if reply is None:
+                return
+            if isinstance(reply, codec.Unreadable):
+                log.warning("engine %s: %s", self.engine, reply.why)
+                self.conn.close(f"unreadable: {reply.why}")
+            elif reply.id in self.attempts:
+                self.owner.relay.take(self.attempts[reply.id], reply)
+            elif reply.id in self.probes:
+                self.owner.probe_ended(reply.id, self.probes[reply.id], reply)
+            # What is left is a late line of an id that was given up: nobody waits for it.
+
+    def _closed(self, why: str) -> None:
+        self.timer.cancel()
+        self.owner.drop(self)
+        for attempt in list(self.attempts.values()):
+            self.owner.book.faulted(attempt, Fault(attempt.reach, why, len(attempt.pages)))
+        for tag, probe in list(self.probes.items()):
+            self.owner.probe_ended(tag, probe, None)
+
+    def usable(self, rid: str, now_ms: float) -> bool:
+        """Whether this attempt may go over it."""
+        return (len(self.attempts) < self.owner.multiplex and rid not in self.attempts
+                and rid not in self.retired and len(self.retired) < RETIRED_MOST
+                and not self.expiring(now_ms))
+
+    def expiring(self, now_ms: float) -> bool:
+        """Whether the engine may be closing it for idleness: what is written then can be lost in doubt."""
+        return (not self.attempts and not self.probes
+                and now_ms - self.used_ms > self.owner.keepalive_ms - IDLE_MARGIN_MS)
+
+    def carry(self, attempt: Attempt) -> None:
+        """Queue an attempt."""
+        attempt.link = self
+        attempt.reach = Reach.NOT_WRITTEN if self.conn.state is State.OPEN else Reach.NOT_CONNECTED
+        self.used_ms = self.owner.now_ms()
+        self.attempts[attempt.ticket.rid] = attempt
+        message = self.messages[attempt.ticket.rid] = Outgoing(attempt, self.owner.now_ms)
+        self.conn.send(message)
+
+    def release(self, attempt: Attempt) -> bool:
+        """Let go of an attempt; True where it had not begun and is taken back."""
+        rid = attempt.ticket.rid
+        if self.attempts.get(rid) is not attempt:
+            return False
+        del self.attempts[rid]
+        return self.conn.withdraw(self.messages.pop(rid))
+
+    def tell(self, word: str, *words: object) -> None:
+        """Write a line."""
+        self.conn.send(Raw(codec.command(word, *words)))
+
+
+class Send:
+    """All connections to engines."""
+
+    def __init__(self, loop: Loop, route: Route, book: Book, relay: Relay, now_ms: Callable[[], float],
+                 post: Callable[[api.Event], None], *, multiplex: int, connect_timeout_ms: float,
+                 keepalive_ms: float, most: int) -> None:
+        self.loop, self.route, self.book, self.relay = loop, route, book, relay
+        self.now_ms, self.post = now_ms, post
+        self.multiplex, self.connect_timeout_ms, self.keepalive_ms = multiplex, connect_timeout_ms, keepalive_ms
+        self.most = most  # connections to all engines together
+        self.links: dict[str, list[Link]] = {}
+        self._tags = itertools.count(1)
+        route.on_closed, route.on_moved = self._stop_engine, self._retire_engine
+
+    # -- Attempts
+
+    def start(self, ticket: Ticket, engine: str, timeout_ms: float | None) -> None:
+        """Carry out the module's Send."""
+        now = self.now_ms()
+        until = ticket.arrival.deadline_ms
+        if timeout_ms is not None and timeout_ms != 0:
+            until = min(until, now + timeout_ms)
+        attempt = Attempt(ticket, ticket.sent, engine, now, until)
+        ticket.sent += 1
+        if not ticket.open:
+            self.book.ended(attempt, Ending.MOOT)
+            return
+        ticket.attempt = attempt
+        member = self.route.find(engine)
+        if member is None:
+            # Guards drains at the socket: the news may have come after the decision.
+            self.book.faulted(attempt, Fault(Reach.NOT_CONNECTED, "the engine takes nothing new"))
+            return
+        link = self._pick(member, ticket.rid)
+        if isinstance(link, str):
+            self.book.faulted(attempt, Fault(Reach.NOT_CONNECTED, link))
+            return
+        attempt.timer = self.loop.call_later(until - now, lambda: self.give_up(attempt, Ending.TIMEOUT))
+        link.carry(attempt)
+
+    def give_up(self, attempt: Attempt, ending: Ending) -> None:
+        """Stop waiting for an attempt: STOP where the engine may have it."""
+        if attempt.ended:
+            return
+        link = attempt.link
+        if link and not link.release(attempt) and link.conn.state is State.OPEN:
+            link.retired.add(attempt.ticket.rid)
+            link.tell("STOP", attempt.ticket.rid)
+            self.book.ended(attempt, ending)
+        else:
+            self.book.faulted(attempt, Fault(Reach.NOT_WRITTEN, "given up before it was sent"))
+
+    def _stop_engine(self, member: Member) -> None:
+        """The engine drains or is gone: what has not begun is taken back, idle connections close."""
+        for link in list(self.links.get(member.engine, ())):
+            for attempt in list(link.attempts.values()):
+                if attempt.reach < Reach.PARTLY_WRITTEN and link.release(attempt):
+                    self.book.faulted(attempt, Fault(attempt.reach, "the engine takes nothing new"))
+            self._close_if_idle(link)
+
+    def _retire_engine(self, member: Member) -> None:
+        """The engine has moved: its old connections finish what they carry and are not used again."""
+        self._stop_engine(member)
+        self.links.pop(member.engine, None)
+
+    # -- Connections
+
+    def _pick(self, member: Member, rid: str) -> Link | str:
+        """An open connection with room, else one that is coming up, else a new one."""
+        now = self.now_ms()
+        links = [link for link in self.links.get(member.engine, ()) if link.usable(rid, now)]
+        if links:
+            return min(links, key=lambda link: (link.conn.state is not State.OPEN, len(link.attempts)))
+        return self._connect(member)
+
+    def _connect(self, member: Member) -> Link | str:
+        if sum(map(len, self.links.values())) >= self.most and not self._spare():
+            return "too many connections to engines"
+        conn = connection.connect(self.loop, member.address, INBOUND, OUTBOUND)
+        if isinstance(conn, str):
+            return conn
+        link = Link(self, member.engine, conn)
+        self.links.setdefault(member.engine, []).append(link)
+        self.loop.spawn(conn.serve())
+        return link
+
+    def _spare(self) -> bool:
+        """Close one idle connection to make room."""
+        return any(self._close_if_idle(link) for links in list(self.links.values()) for link in list(links))
+
+    def _close_if_idle(self, link: Link) -> bool:
+        if link.attempts or link.probes:
+            return False
+        link.conn.close("idle")
+        return True
+
+    def drop(self, link: Link) -> None:
+        """Forget a connection that has closed."""
+        links = self.links.get(link.engine, [])
+        if link in links:
+            links.remove(link)
+            if not links:
+                del self.links[link.engine]
+
+    def close_idle(self, engine: str | None = None) -> None:
+        """Close idle connections: all to one engine, or everywhere those that are about to idle out."""
+        now = self.now_ms()
+        for name in [engine] if engine else list(self.links):
+            for link in list(self.links.get(name, ())):
+                if engine or link.expiring(now) or self.route.find(name) is None:
+                    self._close_if_idle(link)
+
+    # -- Probes
+
+    def probe(self, engine: str) -> None:
+        """Ask an engine for its load."""
+        member = self.route.find(engine)
+        link = self._pick(member, "") if member else "the engine takes nothing new"
+        if isinstance(link, str):
+            self.post(api.ProbeEnded(engine, Ending.NO_CONNECTION, 0.0))
+            return
+        tag = f"p{next(self._tags)}"
+        probing = link.probes[tag] = Probing(engine, self.now_ms(), link)
+        probing.timer = self.loop.call_later(PROBE_MS, lambda: self.probe_ended(tag, probing, None))
+        link.used_ms = self.now_ms()
+        link.tell("STAT", tag)
+
+    def probe_ended(self, tag: str, probing: Probing, reply: codec.Reply | None) -> None:
+        """A probe has brought something, or nothing will come."""
+        if probing.link.probes.pop(tag, None) is None:
+            return
+        probing.timer.cancel()
+        good = reply is not None and reply.word == "PONG"
+        ending = Ending.SERVED if good else Ending.ERROR if reply else Ending.TIMEOUT
+        self.post(api.ProbeEnded(probing.engine, ending, self.now_ms() - probing.began_ms,
+                                 codec.report(reply.fields) if reply else None))
+
+    def close(self) -> None:
+        """Close every connection."""
+        for links in list(self.links.values()):
+            for link in list(links):
+                link.conn.close("the broker ends")
--- /dev/null
+++ b/umberusher/ticket.py
@@ -0,0 +1,86 @@
+"""The values that pass from stage to stage: a taken request, its attempts, and how far an attempt came."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import TYPE_CHECKING, Protocol
+
+from umberusher import interface as api
+
+if TYPE_CHECKING:
+    from umberusher.net.loop import Timer
+    from umberusher.stages.send import Link
+
+
+class Reach(IntEnum):
+    """How far an attempt had come, in order."""
+
+    NOT_CONNECTED = 0
+    NOT_WRITTEN = 1
+    PARTLY_WRITTEN = 2
+    WHOLE = 3
+    ANSWERED = 4
+    PAGE = 5
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """Why an attempt ended without a result, and how far it had come."""
+
+    reach: Reach
+    why: str
+    page: int = 0  # pages that had come, where it reached them
+
+    @property
+    def never_ran(self) -> bool:
+        """An engine runs nothing of which it has not got the last byte."""
+        return self.reach < Reach.WHOLE
+
+
+class Caller(Protocol):
+    """Who waits for the final answer; each front protocol has its own."""
+
+    def served(self, rows: bytes) -> None:
+        """All rows of the result."""
+
+    def refused(self, backoff_ms: float | None) -> None:
+        """Not done; trying again is harmless, after that time."""
+
+    def failed(self, why: str) -> None:
+        """Failed; nothing is promised."""
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A request that the broker has taken and owes one final answer for."""
+
+    arrival: api.Arrival
+    statement: bytes
+    caller: Caller
+    open: bool = True  # the final answer is still owed
+    sent: int = 0  # attempts so far
+    attempt: Attempt | None = None  # the one that is out
+
+    @property
+    def rid(self) -> str:
+        """Its id."""
+        return self.arrival.request
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One send of a request to an engine."""
+
+    ticket: Ticket
+    number: int
+    engine: str
+    began_ms: float  # when the module sent it
+    until_ms: float  # when it times out
+    reach: Reach = Reach.NOT_CONNECTED
+    ended: bool = False
+    pages: dict[int, bytes] = field(default_factory=dict)
+    count: int = 0  # pages of the result, once known
+    size: int = 0  # bytes of the pages that have come
+    link: Link | None = None
+    timer: Timer | None = None
