Answer a given-up query at once, also after an error or past hope of its deadline

Both hold an answer that is already decided. The new test fails on the old text (answer after 8,960 ms).

--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from tests.helpers import Bench, make_settings, only
 from umberusher import interface as api
 
@@ -62,3 +64,19 @@
     bench.gateway.usual["r"].log_time = 8.0  # 3 s, as learned from slow answers meanwhile
     actions = bench.run(800)
     assert only(actions, api.Refuse)
+
+
+@pytest.mark.parametrize("late_worth", [0.1, 0.5])
+def test_a_query_given_up_after_an_error_is_refused_at_once(late_worth):
+    """Guards against an answer held till near the deadline so that the client doesn't ask again."""
+    cls = api.QueryClass("short", 500, 9000, 1, api.Effect.SAFE, late_worth=late_worth)
+    limits = api.Limits(max_attempts=4, retry_after=True, max_retry_after_ms=300)
+    bench = Bench(make_settings(cls, limits=limits), engines=1)
+    _, actions = bench.arrive(wait=9000)
+    bench.change("e0", api.EngineState.GONE)
+    bench.finish(only(actions, api.Send)[0], api.Ending.ERROR)
+    began = bench.now
+    while not only(bench.log, api.Refuse) and bench.now < 1000 + 9000:
+        bench.tick()
+    assert only(bench.log, api.Refuse) == [api.Refuse("r1", 300)]
+    assert bench.now - began < (600 if late_worth < 0.15 else 9000 - 150)
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -532,27 +532,31 @@
         return request.deadline - ANSWER_MS - 2 * self.settings.tick_ms - TICK_MS
 
     def _next_look(self, request: _Request) -> float:  # when to answer, or give up its aim
-        if request.late:
-            return self._last(request)
         needed = 0.0 if request.out else HOPE * self._expected(request)
-        return min(self._last(request), self._aim(request) - needed)
+        until = request.deadline if request.late else self._aim(request)
+        return min(self._last(request), until - needed)
 
     def _look_over(self) -> None:
         for key in [key for key, line in self.lines.items() if not line.turn and line.rest_until <= self.now]:
             del self.lines[key]
-        for request in [r for r in self.held if not r.late and self.now >= self._next_look(r)]:
-            self._past_aim(request)  # what is expected may have grown since its look was planned
+        for request in [r for r in self.held if self.now >= self._next_look(r)]:
+            self._overdue(request)  # what is expected may have grown since its look was planned
         while self.due and self.due[0][0] <= self.now:
             _, count, request = heapq.heappop(self.due)
             if request.ended or request.streaming:
                 continue
-            if self.now >= self._last(request):
-                self._answer(request)
-            elif self.now >= self._next_look(request):
-                self._past_aim(request)
+            if self.now >= self._next_look(request):
+                self._overdue(request)
             if not request.ended:
                 heapq.heappush(self.due, (max(self._next_look(request), self.now + 1.0), count, request))
 
+    def _overdue(self, request: _Request) -> None:
+        """A look has come: what no longer fits its deadline is answered at once, not when that comes."""
+        if request.late or self.now >= self._last(request):
+            self._answer(request)
+        else:
+            self._past_aim(request)
+
     def _past_aim(self, request: _Request) -> None:
         """A query that can't meet its aim: kept for what a late answer is worth, else ended."""
         request.late = True
@@ -560,7 +564,7 @@
             self.held.remove(request)
             request.held = False
             self._hold(request)
-        if request.cls.late_worth < LATE_WORTH and not request.out and not request.doubt:
+        if request.cls.late_worth < LATE_WORTH and not request.out:
             self._answer(request)
         elif request.out and self.limits.cancel:
             self._give_up(request)
