--- /dev/null
+++ b/tests/test_broker.py
@@ -0,0 +1,358 @@
+"""The broker on loopback sockets, with a clock of the test's own: one request's life, and what can go wrong."""
+
+from __future__ import annotations
+
+import json
+import socket
+import struct
+
+import pytest
+
+from tests.test_codecs import execute
+from tests.test_config import CONF
+from umberusher import config
+from umberusher.broker import Broker
+from umberusher.net.loop import Loop
+from umberusher.net.ring import Ring
+from umberusher.protocol import board, thrift
+
+
+class Peer:
+    """A socket of the test's, read without waiting."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.got, self.ended = sock, b"", False
+        sock.setblocking(False)
+
+    def read(self) -> bytes:
+        try:
+            data = self.sock.recv(1 << 16)
+            self.ended = self.ended or not data
+            self.got += data
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.ended = True
+        return self.got
+
+
+class Rig:
+    """One broker with its board, engines and clients, all played by the test."""
+
+    def __init__(self, engines: int = 1) -> None:
+        self.now = 1_700_000_000.0
+        self.listeners = {name: self._listen() for name in ["board", *(f"s-{n}" for n in range(engines))]}
+        self.rev, self.peers = 0, []
+        conf = CONF | {"listen": "127.0.0.1:1", "board": self.address("board"),
+                       "known": self.notices(*[(f"s-{n}", f"s-{n}", "SERVING") for n in range(engines)], reset=True)}
+        parsed = config.parse(conf)
+        parsed.listen = ("127.0.0.1", 0)
+        self.broker = Broker(parsed, Loop(lambda: self.now), lambda: self.now)
+        self.broker.start()
+        self.board = self.accept("board")
+        self.seqid = 0
+
+    def _listen(self) -> socket.socket:
+        sock = socket.create_server(("127.0.0.1", 0))
+        sock.setblocking(False)
+        return sock
+
+    def address(self, name: str) -> str:
+        return f"127.0.0.1:{self.listeners[name].getsockname()[1]}"
+
+    def notices(self, *entries, reset=False) -> dict:
+        self.rev += 1
+        made = [{"instanceId": name, "hostPort": self.address(place), "zone": "room-a", "machineType": "std-8",
+                 "cell": 1, "lifecycle": state, "weight": 1, "startedAtMs": 0} for name, place, state in entries]
+        return {"rev": self.rev, "notices": [{"rev": self.rev, "pool": {"reset": reset, "instances": made}}]}
+
+    def news(self, *entries) -> None:
+        body = json.dumps(self.notices(*entries)).encode()
+        self.board.sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        self.until(lambda: self.broker.route.rev == self.rev)
+
+    def until(self, condition) -> None:
+        for _ in range(200):
+            if condition():
+                return
+            self.broker.loop.step(5)
+        raise AssertionError("it did not come to that")
+
+    def later(self, ms: float, step: float = 20.0) -> None:
+        """Let time pass."""
+        for _ in range(int(ms // step)):
+            self.now += step / 1000
+            self.broker.loop.step(0)
+
+    def accept(self, name: str) -> Peer:
+        found = []
+
+        def come() -> bool:
+            try:
+                found.append(self.listeners[name].accept()[0])
+            except BlockingIOError:
+                return False
+            return True
+
+        self.until(come)
+        return self.keep(Peer(found[0]))
+
+    def keep(self, peer: Peer) -> Peer:
+        self.peers.append(peer)
+        return peer
+
+    def client(self) -> Peer:
+        return self.keep(Peer(socket.create_connection(self.broker.front.listener.getsockname())))
+
+    def ask(self, client: Peer, method: str = "lookup", rid: str = "", **more) -> str:
+        self.seqid += 1
+        rid = rid or f"{self.seqid:016x}"
+        fields = {"method": method, "rid": rid, "budget": "2000"} | more
+        client.sock.send(execute(self.seqid, fields, b"select * from park_1.sites"))
+        self.until(lambda: rid in self.broker.book.tickets)
+        return rid
+
+    def expect(self, peer: Peer, text: bytes) -> None:
+        self.until(lambda: text in peer.read())
+
+    def answer(self, client: Peer) -> bytes:
+        """The next frame."""
+        found = []
+
+        def come() -> bool:
+            ring = Ring(1 << 20)
+            ring.write(client.read())
+            frame = thrift.next_frame(ring)
+            if frame is None:
+                return False
+            client.got = ring.take(len(ring))
+            found.append(frame)
+            return True
+
+        self.until(come)
+        return found[0]
+
+    def close(self) -> None:
+        self.broker.close()
+        for sock in [*self.listeners.values(), *(peer.sock for peer in self.peers)]:
+            sock.close()
+
+
+@pytest.fixture
+def rig():
+    made = []
+
+    def make(engines: int = 1) -> Rig:
+        made.append(Rig(engines))
+        return made[0]
+
+    yield make
+    for each in made:
+        each.close()
+
+
+def test_pages_out_of_order_are_served_in_order_and_then_ended(rig):
+    rig = rig()
+    client = rig.client()
+    rid = rig.ask(client)
+    engine = rig.accept("s-0")
+    rig.expect(engine, b"REQ %b lane=lookup,ttl=2000 26\r\nselect * from park_1.sites\r\n" % rid.encode())
+    engine.sock.send(f"{rid} INFO why=done,reading=0.5 0\r\n\r\n{rid} HIT count=3 2\r\na\n\r\n".encode())
+    rig.expect(engine, f"FETCH {rid} 1\r\nFETCH {rid} 2\r\n".encode())
+    engine.sock.send(f"{rid} PART pos=2 2\r\nc\n\r\n{rid} PART pos=1 2\r\nb\n\r\n".encode())
+    assert b"a\nb\nc\n" in rig.answer(client)
+    rig.expect(engine, f"END {rid}\r\n".encode())
+    assert not rig.broker.book.tickets and not rig.broker.gateway.attempts
+
+
+@pytest.mark.parametrize("word", ["reset", "FAULT", "page"])
+def test_a_load_that_may_have_run_fails_and_is_not_sent_again(rig, word):
+    rig = rig(2)
+    client = rig.client()
+    rid = rig.ask(client, "load", obj="k")
+    name = rig.broker.book.tickets[rid].attempt.engine
+    engine = rig.accept(name)
+    rig.expect(engine, b"park_1.sites\r\n")
+    if word == "page":
+        engine.sock.send(f"{rid} HIT count=2 2\r\na\n\r\n".encode())
+        rig.expect(engine, b"FETCH")
+    if word == "FAULT":
+        engine.sock.send(f"{rid} FAULT - 0\r\n\r\n".encode())
+    else:
+        engine.sock.close()
+    assert struct.pack(">bh", 12, 2) in rig.answer(client)  # Aborted
+    rig.later(600)
+    assert rig.broker.book.counts["attempt reset"] + rig.broker.book.counts["attempt error"] == 1
+
+
+@pytest.mark.parametrize("word", ["SHED", "LATE"])
+def test_what_never_ran_goes_to_another_engine(rig, word):
+    rig = rig(2)
+    rid = rig.ask(rig.client(), "load", obj="k")
+    first = rig.broker.book.tickets[rid].attempt.engine
+    engine = rig.accept(first)
+    rig.expect(engine, b"REQ")
+    engine.sock.send(f"{rid} {word} - 0\r\n\r\n".encode())
+    rig.until(lambda: (a := rig.broker.book.tickets[rid].attempt) and a.number == 1)
+    other = rig.accept("s-1" if first == "s-0" else "s-0")
+    rig.expect(other, f"REQ {rid} lane=load".encode())
+
+
+def test_a_refused_connection_and_one_that_never_comes_up_prove_that_nothing_ran(rig):
+    rig = rig(2)
+    port = rig.listeners["s-0"].getsockname()[1]
+    rig.listeners["s-0"].close()
+    rig.broker.gateway.engines["s-0"].odds = 1.0
+    rid = rig.ask(rig.client(), "load", obj="k")
+    rig.expect(rig.accept("s-1"), f"REQ {rid} ".encode())
+    assert rig.broker.book.counts["attempt reset"] == 0
+    rig.listeners["s-0"] = socket.create_server(("127.0.0.1", port))
+
+
+def test_an_interrupt_stops_the_attempt_and_nothing_is_answered(rig):
+    rig = rig()
+    client = rig.client()
+    rid = rig.ask(client)
+    engine = rig.accept("s-0")
+    rig.expect(engine, b"REQ")
+    call = struct.pack(">Ii9siBhiB", 0x80010004, 9, b"interrupt", 2, 8, 1, 1, 0)
+    client.sock.send(struct.pack(">i", len(call)) + call)
+    rig.expect(engine, f"STOP {rid}\r\n".encode())
+    engine.sock.send(f"{rid} HIT count=1 2\r\na\n\r\n".encode())  # late: nobody waits for it
+    rig.later(3000)
+    assert client.read() == b"" and not rig.broker.book.tickets and not rig.broker.gateway.requests
+
+
+def test_a_silent_engine_costs_one_refusal_before_the_deadline_and_a_stop(rig):
+    rig = rig()
+    client = rig.client()
+    rid = rig.ask(client)
+    engine = rig.accept("s-0")
+    rig.expect(engine, b"REQ")
+    rig.later(1980)
+    assert b"backoff" in rig.answer(client)
+    rig.later(100)
+    rig.expect(engine, f"STOP {rid}\r\n".encode())
+    assert rig.broker.book.counts["attempt timeout"] == 1 and not rig.broker.gateway.attempts
+
+
+@pytest.mark.parametrize("state", ["DRAINING", "DELETED"])
+def test_a_send_that_has_not_begun_is_not_written_after_the_news(rig, state):
+    rig = rig()
+    rid = rig.ask(rig.client())
+    attempt = rig.broker.book.tickets[rid].attempt
+    if attempt.reach < 2:  # still connecting; else the kernel was faster and it has begun
+        rig.broker.route.take(notice(rig, ("s-0", "s-0", state)))
+        assert attempt.ended and attempt.link.conn.state.value == "closed"
+        assert rig.broker.book.counts["attempt no connection"] == 1
+    rig.broker.send.start(rig.broker.book.tickets[rid], "s-0", None)
+    assert rig.broker.book.tickets[rid].attempt is None or attempt.reach >= 2
+
+
+def notice(rig, *entries):
+    return board.notices(rig.notices(*entries), 0)[0]
+
+
+def test_a_new_engine_at_an_old_address_gets_a_connection_of_its_own(rig):
+    rig = rig()
+    first = rig.ask(rig.client())
+    old = rig.accept("s-0")
+    rig.expect(old, first.encode())
+    rig.news(("s-0", "s-0", "DELETED"), ("s-9", "s-0", "SERVING"))
+    second = rig.ask(rig.client())
+    new = rig.accept("s-0")
+    rig.expect(new, second.encode())
+    assert second.encode() not in old.read()
+
+
+def test_a_connection_about_to_idle_out_is_not_used_again(rig):
+    rig = rig()
+    client = rig.client()
+    rid = rig.ask(client)
+    engine = rig.accept("s-0")
+    rig.expect(engine, b"REQ")
+    engine.sock.send(f"{rid} HIT count=1 2\r\na\n\r\n".encode())
+    rig.answer(client)
+    for probe in engine.read().split(b"STAT ")[1:]:
+        engine.sock.send(probe.split()[0] + b" PONG - 0\r\n\r\n")
+    rig.later(14_500, 100)
+    assert engine.read() is not None and engine.ended
+
+
+def test_a_silent_board_is_asked_again_over_a_new_connection(rig):
+    rig = rig()
+    rig.expect(rig.board, b"GET /board/poll?watch=1&linger=")
+    rig.later(3000)
+    rig.expect(rig.accept("board"), b"GET /board/poll?watch=1&linger=")
+
+
+def test_after_sigterm_it_is_not_good_yet_serves_and_then_ends(rig):
+    rig = rig()
+    check = struct.pack(">Ii5siBhBB", 0x80010001, 5, b"check", 1, 2, 1, 0, 0)
+    client = rig.client()
+    client.sock.send(struct.pack(">i", len(check)) + check)
+    assert rig.answer(client).endswith(b"\x02\0\x03\x01\0\0")
+    rig.broker.loop.running = True
+    rig.broker.stop()
+    rig.later(600)
+    other = rig.client()
+    rid = rig.ask(other)
+    client.sock.send(struct.pack(">i", len(check)) + check)
+    assert rig.answer(client).endswith(b"\x02\0\x03\0\0\0")
+    engine = rig.accept("s-0")
+    rig.expect(engine, b"REQ")
+    rig.later(800)
+    assert rig.broker.loop.running
+    engine.sock.send(f"{rid} HIT count=1 2\r\na\n\r\n".encode())
+    assert b"a\n" in rig.answer(other)
+    rig.later(200)
+    assert not rig.broker.loop.running
+
+
+@pytest.mark.parametrize("more, body", [({"rid": "zz"}, b""), ({"budget": "soon"}, b""), ({"budget": "nan"}, b""),
+                                        ({"method": "a b"}, b""), ({"est": "-1"}, b""), ({}, b"select '")])
+def test_a_bad_field_or_statement_is_an_application_exception(rig, more, body):
+    rig = rig()
+    client = rig.client()
+    client.sock.send(execute(1, {"method": "lookup", "rid": "0" * 16, "budget": "900"} | more, body))
+    assert rig.answer(client).startswith(struct.pack(">I", 0x80010003))
+    assert rig.ask(client) in rig.broker.book.tickets  # the connection goes on
+
+
+def test_an_id_that_is_open_already_fails_and_an_unknown_class_too(rig):
+    rig = rig()
+    client = rig.client()
+    rid = rig.ask(client)
+    rig.seqid += 1
+    client.sock.send(execute(rig.seqid, {"method": "lookup", "rid": rid, "budget": "900"}, b"select 1"))
+    assert struct.pack(">bh", 12, 2) in rig.answer(client)
+    client.sock.send(execute(99, {"method": "other", "rid": "f" * 16, "budget": "900"}, b"select 1"))
+    assert struct.pack(">bh", 12, 2) in rig.answer(client)
+    assert list(rig.broker.book.tickets) == [rid]
+
+
+def test_a_frame_too_large_closes_its_connection_only(rig):
+    rig = rig()
+    client, other = rig.client(), rig.client()
+    client.sock.send(b"\x7f\xff\xff\xff")
+    rig.until(lambda: client.read() is not None and client.ended)
+    assert rig.ask(other) in rig.broker.book.tickets
+
+
+def test_near_the_memory_limit_requests_are_refused(rig):
+    rig = rig()
+    client = rig.client()
+    rig.broker.admit.tight = True
+    client.sock.send(execute(1, {"method": "lookup", "rid": "0" * 16, "budget": "900"}, b"select 1"))
+    assert b"backoff" in rig.answer(client)
+
+
+def test_with_all_places_taken_the_quietest_idle_client_makes_room(rig):
+    rig = rig()
+    rig.broker.front.most = 2
+    busy, quiet = rig.client(), rig.client()
+    rig.ask(busy)
+    new = rig.client()
+    rig.ask(new)
+    rig.until(lambda: quiet.read() is not None and quiet.ended)
+    assert not busy.ended and len(rig.broker.front.clients) == 2
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,58 @@
+"""The configuration, and the command line's way with a bad one."""
+
+from __future__ import annotations
+
+import copy
+import json
+
+import pytest
+
+from umberusher import cli, config
+
+CLASSES = [
+    {"name": "lookup", "aim_ms": 500.0, "deadline_ms": 2500.0, "effect": "safe", "points": 1.0, "late_worth": 0.1},
+    {"name": "load", "aim_ms": 3000.0, "deadline_ms": 25000.0, "effect": "unsafe", "points": 7.5, "keep_order": True}]
+CONF = {
+    "name": "n0", "listen": "127.0.0.1:5050", "seed": "8c1f30d27a5be964", "board": "127.0.0.1:8500",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {"rev": 0, "notices": []},
+    "settings": {
+        "grades": CLASSES, "machine_types": ["std-8"], "domain": {"size_cores": [8], "holds_tables": [False, True]},
+        "limits": {"max_attempts": 6, "probes": True, "retry_after": True, "max_retry_after_ms": 500.0,
+                   "multiplex": 32, "connect_timeout_ms": 250.0, "keepalive_ms": 15000.0},
+        "contract": {"drain_grace_ms": 250.0, "settle_after_doubt_ms": 500.0}}}
+
+
+def test_the_environment_goes_before_the_file(tmp_path):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(CONF))
+    found = config.load({"LB_CONFIG": str(path), "LB_NAME": "n7", "LB_LISTEN": "127.0.0.2:81"})
+    assert (found.name, found.listen, found.seed) == ("n7", ("127.0.0.2", 81), 0x8C1F30D27A5BE964)
+    assert found.settings.classes[1].in_order and found.multiplex == 32
+
+
+@pytest.mark.parametrize("path, value", [
+    (["listen"], "nowhere"), (["board"], None), (["seed"], "xyz"), (["known"], {"notices": [{}]}),
+    (["settings"], {}), (["settings", "grades"], [{}]), (["limits", "sockets"], 3), (["limits", "memory_mb"], "many")])
+def test_a_bad_configuration_is_one_line_and_exit_2(tmp_path, monkeypatch, capsys, path, value):
+    conf = copy.deepcopy(CONF)
+    inner = conf
+    for name in path[:-1]:
+        inner = inner[name]
+    inner[path[-1]] = value
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(conf))
+    for name in ("LB_NAME", "LB_LISTEN"):
+        monkeypatch.delenv(name, raising=False)
+    monkeypatch.setenv("LB_CONFIG", str(file))
+    assert cli.main(["serve"]) == 2
+    told = capsys.readouterr().err
+    assert told.startswith("umberusher: configuration: ") and told.count("\n") == 1
+
+
+def test_check_config_and_version(tmp_path, monkeypatch, capsys):
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(CONF))
+    monkeypatch.setenv("LB_CONFIG", str(file))
+    assert cli.main(["check-config"]) == 0 and cli.main(["version"]) == 0
+    told = capsys.readouterr().out
+    assert "n0: listens on" in told and "umberusher 0.1.0" in told
--- a/umberusher/protocol/statement.py
+++ b/umberusher/protocol/statement.py
@@ -12,6 +12,7 @@
     r"|(?P<open>'|/\*|\")|(?P<other>.)", re.S)
 _NUMBERED = re.compile(r"_(\d{1,9})$")
 _BEFORE_TABLE = {"from", "join", "into", "update", "table", "using", "copy", "only"}
+_ENDS_LIST = {"select", "where", "set", "on", "group", "order", "having", "limit", "values", "union", "returning"}
 STAGING = "staging"
 
 
@@ -32,7 +33,7 @@
         text = body.decode("utf-8")
     except UnicodeDecodeError:
         return BadStatement("not text")
-    elsewhere, expects = None, False
+    elsewhere, expects, in_list = None, False, False
     for token in _TOKEN.finditer(text):
         if token["open"]:
             return BadStatement("a string, comment or name is not closed")
@@ -47,7 +48,10 @@
                 elsewhere = int(number[1]) if elsewhere is None else elsewhere
             expects = False
         elif token["word"]:
-            expects = token["word"].lower() in _BEFORE_TABLE
+            word = token["word"].lower()
+            expects = word in _BEFORE_TABLE
+            in_list = expects or (in_list and word not in _ENDS_LIST)
         elif not token["other"].isspace():
-            expects = False
+            in_list = in_list and token["other"] != "("
+            expects = in_list and token["other"] == ","
     return elsewhere
