--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -26,6 +26,7 @@
     def begin(self):
         self.loop = Loop()
         ours, self.peer = socket.socketpair()
+        ours.setblocking(False)
         ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4608)
         self.peer.setblocking(False)
         self.conn = connection.Connection(self.loop, ours, State.OPEN, LIMIT, LIMIT)
@@ -137,6 +138,8 @@
 def test_a_hook_that_raises_closes_its_connection_only():
     loop = Loop()
     ours, peer = socket.socketpair()
+    ours.setblocking(False)
+    peer.settimeout(5)
     conn = connection.Connection(loop, ours, State.OPEN, 100, 100)
     why = []
     conn.on_data, conn.on_closed = lambda: 1 / 0, why.append
