A load waiting for its key's turn no longer keeps other keys from being tried

At fault: _dispatch in decide.py counts every held load as a try in vain, also one whose key's turn has not come; after four of them it tries no other. A small probe, now the test, shows it: eight loads of one key, and one of another is not sent to an idle fleet.

--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -80,3 +80,14 @@
         bench.tick()
     assert only(bench.log, api.Refuse) == [api.Refuse("r1", 300)]
     assert bench.now - began < (600 if late_worth < 0.15 else 9000 - 150)
+
+
+def test_loads_that_wait_for_their_key_do_not_keep_other_keys_waiting():
+    """Found on a day with a busy key: half of all loads were refused though the engines had room."""
+    cls = api.QueryClass("load", 3000, 25_000, 7, api.Effect.UNSAFE, in_order=True, late_worth=0.5)
+    bench = Bench(make_settings(cls), engines=3)
+    for _ in range(8):
+        bench.arrive("load", 25_000, key="busy")
+    name, actions = bench.arrive("load", 25_000, key="other")
+    assert [send.request for send in only(actions, api.Send)] == [name]
+    assert len(only(bench.log, api.Send)) == 2
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -397,7 +397,8 @@
     def _dispatch(self) -> None:
         missed: Counter[str] = Counter()
         for request in self.held.copy():
-            if missed[request.cls.name] >= self.tries:
+            # Waiting for the key's turn is no try in vain: five such loads kept all other keys from being tried.
+            if missed[request.cls.name] >= self.tries or not self._may_go(request):
                 continue
             engine = self._choose(request)
             if engine is not None and self._send(request, engine):
