--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -15,6 +15,7 @@
 from umberusher.net.loop import Loop
 from umberusher.net.ring import Ring
 from umberusher.protocol import board, thrift
+from umberusher.ticket import Reach
 
 
 class Peer:
@@ -71,8 +72,8 @@
         self.board.sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
         self.until(lambda: self.broker.route.rev == self.rev)
 
-    def until(self, condition) -> None:
-        for _ in range(200):
+    def until(self, condition, steps: int = 200) -> None:
+        for _ in range(steps):
             if condition():
                 return
             self.broker.loop.step(5)
@@ -102,7 +103,10 @@
         return peer
 
     def client(self) -> Peer:
-        return self.keep(Peer(socket.create_connection(self.broker.front.listener.getsockname())))
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+        sock.connect(self.broker.front.listener.getsockname())
+        return self.keep(Peer(sock))
 
     def ask(self, client: Peer, method: str = "lookup", rid: str = "", **more) -> str:
         self.seqid += 1
@@ -356,3 +360,51 @@
     rig.ask(new)
     rig.until(lambda: quiet.read() is not None and quiet.ended)
     assert not busy.ended and len(rig.broker.front.clients) == 2
+
+
+def test_a_client_that_floods_and_takes_no_answers_is_read_no_further_and_then_goes_on(rig):
+    rig = rig()
+    client = rig.client()
+    rig.until(lambda: rig.broker.front.clients)
+    next(iter(rig.broker.front.clients)).conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4608)
+    calls = [execute(n, {"method": "other", "rid": f"{n:016x}", "budget": "900"}, b"x") for n in range(1, 9001)]
+    sent, data = 0, b"".join(calls)
+    for _ in range(400):
+        try:
+            sent += client.sock.send(data[sent:sent + (1 << 16)])
+        except BlockingIOError:
+            pass
+        rig.broker.loop.step(0)
+    front, = rig.broker.front.clients
+    assert front.conn.paused and len(front.conn.outbox) <= 65
+    while sent < len(data):
+        before = sent
+        try:
+            sent += client.sock.send(data[sent:])
+        except BlockingIOError:
+            pass
+        client.read()
+        rig.broker.loop.step(0)
+        assert sent > before or front.conn.state.value == "open"
+    rig.until(lambda: client.read().count(b"\x80\x01\x00\x02") == 9000, 3000)
+
+
+def test_a_board_that_does_not_wait_is_not_asked_in_a_circle(rig):
+    rig = rig()
+    for _ in range(50):
+        asked = rig.board.read().count(b"GET")
+        rig.board.sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n" + b'{"rev":1,"notices":[]}')
+        rig.broker.loop.step(0)
+    assert rig.board.read().count(b"GET") == asked <= 2
+
+
+def test_the_decisions_hear_of_a_drain_before_the_sends_that_it_takes_back(rig):
+    rig = rig(2)
+    rid = rig.ask(rig.client())
+    attempt = rig.broker.book.tickets[rid].attempt
+    attempt.link.conn.outbox.clear()
+    attempt.reach = Reach.NOT_WRITTEN
+    attempt.link.conn.outbox.append(attempt.link.messages[rid])
+    rig.broker.route.take(notice(rig, (attempt.engine, attempt.engine, "DRAINING")))
+    again = rig.broker.book.tickets[rid].attempt
+    assert attempt.ended and again.number == 1 and again.engine != attempt.engine
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -138,10 +138,13 @@
         held = resident_mb()
         # Guards against being killed for memory: nothing more is taken until it falls.
         self.admit.tight = held > TIGHT_PART * self.config.memory_mb
-        if (self.stopping_at is not None and self.clock() - self.stopping_at > LINGER_S
-                and self.front.idle and not self.queue):
-            self.loop.running = False
-            return
+        if self.stopping_at is not None:
+            passed = self.clock() - self.stopping_at
+            longest = max(item.deadline_ms for item in self.config.settings.classes) / 1000
+            # A client that takes no answers must not keep a broker from its end: after the longest deadline it goes.
+            if passed > LINGER_S + longest or (passed > LINGER_S and self.front.idle):
+                self.loop.running = False
+                return
         self.loop.call_later(SWEEP_MS, self._sweep)
 
     def run(self) -> None:
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -295,12 +295,16 @@
             return False
         if request.cls.effect is Effect.UNSAFE and (request.out or request.doubt):
             return False
-        if request.key is not None:
-            line = self.lines[request.key]
-            if line.turn[0] is not request or (self.now < line.rest_until and not request.sent):
-                return False
+        if self._waits_turn(request):
+            return False
         return not request.sent or self._extra_left()
 
+    def _waits_turn(self, request: _Request) -> bool:
+        """Whether an earlier request of its key goes first, or the key rests."""
+        line = self.lines.get(request.key) if request.key is not None else None
+        return line is not None and (
+            line.turn[0] is not request or (self.now < line.rest_until and not request.sent))
+
     def _extra_left(self) -> bool:
         """Retry budget of the last window; the window is closed at both ends, to be safe."""
         rules = self.rules
@@ -398,7 +402,7 @@
         missed: Counter[str] = Counter()
         for request in self.held.copy():
             # Waiting for the key's turn is no try in vain: five such loads kept all other keys from being tried.
-            if missed[request.cls.name] >= self.tries or not self._may_go(request):
+            if missed[request.cls.name] >= self.tries or self._waits_turn(request):
                 continue
             engine = self._choose(request)
             if engine is not None and self._send(request, engine):
--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -119,16 +119,12 @@
     def serve(self) -> Coroutine:
         """Move bytes until the connection closes."""
         if self.state is State.CONNECTING:
-            yield Wait(self.fd, WRITE)
-            if self.state is not State.CONNECTING:
-                return
-            failed = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if failed:
-                self.close(f"connect: {errno.errorcode.get(failed, failed)}")
-                return
-            self.state = State.OPEN
-            self.on_open()
-            self._flush()
+            while self.state is State.CONNECTING:
+                yield Wait(self.fd, WRITE)
+                self._check_up()
+            if self.state is State.OPEN:
+                self._guard(self.on_open)
+                self._flush()
         while self.state is State.OPEN:
             events = yield Wait(self.fd, self._mask())
             if self.state is State.OPEN and events & WRITE:
@@ -136,6 +132,23 @@
             if self.state is State.OPEN and events & ~WRITE:
                 self._read()
 
+    def _check_up(self) -> None:
+        """See whether the connection has come up, has failed, or is still to be waited for.
+
+        Guards against an event of a descriptor that was closed and given out again in the same turn of the loop.
+        """
+        if self.state is not State.CONNECTING:
+            return
+        failed = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if failed:
+            self.close(f"connect: {errno.errorcode.get(failed, failed)}")
+            return
+        try:
+            self.sock.getpeername()
+        except OSError:
+            return
+        self.state = State.OPEN
+
     def _mask(self) -> int:
         read = READ if not self.paused and self.inbound.room > 0 else 0
         return read | (0 if self.idle else WRITE)
@@ -160,6 +173,12 @@
             return
         self._guard(self.on_data)
 
+    def process(self) -> None:
+        """Offer the owner again what it has left in the inbound ring."""
+        if self.state is State.OPEN:
+            self._guard(self.on_data)
+            self._watch()
+
     def _guard(self, call: Callable[[], None]) -> None:
         """Exceptions of an owner's hook stop here: this connection closes, the broker goes on."""
         self._reading = True
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -64,13 +64,14 @@
         """Start a coroutine; it runs up to its first wait at once."""
         self._resume(coroutine, None)
 
-    def _resume(self, coroutine: Coroutine, value: int | None) -> None:
+    def _resume(self, coroutine: Coroutine, value: int | None, fd: int = -1) -> None:
         try:
             wait = coroutine.send(value)
         except StopIteration:
             return
         except Exception:  # the last fence: a fault of one connection must not end the broker
             log.exception("a coroutine failed")
+            self.forget(fd)  # else its events would come for ever with nobody to take them
             return
         self._parked[wait.fd] = coroutine
         self.watch(wait.fd, wait.events)
@@ -100,7 +101,7 @@
         for fd, events in self.epoll.poll(timeout):
             coroutine = self._parked.pop(fd, None)
             if coroutine is not None:  # an earlier one of this round may have closed it
-                self._resume(coroutine, events)
+                self._resume(coroutine, events, fd)
         self._fire()
 
     def _fire(self) -> None:
--- a/umberusher/noticeboard.py
+++ b/umberusher/noticeboard.py
@@ -54,6 +54,7 @@
         if conn is None or conn.state is not State.OPEN:
             return
         self.timer.cancel()
+        self.asked_at = self.loop.clock()
         # Guards against a board that is cut off: its connection stays open and says nothing.
         self.timer = self.loop.call_later(LINGER_MS + SILENT_MS, lambda: conn.close("silent"))
         conn.send(Raw(self.client.poll(self.rev(), LINGER_MS)))
@@ -68,10 +69,13 @@
             conn.close(found.why)
             return
         self.retry_ms = RETRY_MS
+        quick = not found and self.loop.clock() - self.asked_at < LINGER_MS / 2000
         for notice in found:
             self.take(notice)
         if not self.client.reusable:
             conn.close("not kept open")
+        elif quick:  # guards against a board that doesn't wait: asked again and again it would take the core
+            self.loop.call_later(RETRY_MOST_MS, self._ask)
         else:
             self._ask()
 
--- a/umberusher/stages/relay.py
+++ b/umberusher/stages/relay.py
@@ -45,13 +45,13 @@
     def _lost(self, attempt: Attempt, why: str, reply: codec.Reply) -> None:
         """It may have run; with pages under way the result is lost."""
         reach = Reach.PAGE if attempt.pages else Reach.ANSWERED
-        if attempt.link:
+        if attempt.pages:
             attempt.link.tell("END", attempt.ticket.rid)
         self.book.faulted(attempt, Fault(reach, why, len(attempt.pages)), codec.report(reply.fields))
 
     def _first(self, attempt: Attempt, reply: codec.Reply) -> None:
         text = reply.fields.get("count", "1")
-        count = int(text) if text.isdigit() else 0
+        count = max(int(text), 1) if text.isdigit() else 0  # an empty result has its page 0 too
         if not 0 < count <= MAX_PAGES:
             self._lost(attempt, f"a result of {text[:20]} pages", reply)
             return
--- a/umberusher/stages/route.py
+++ b/umberusher/stages/route.py
@@ -33,37 +33,37 @@
         self.on_moved: Callable[[Member], None] = lambda member: None  # its address has changed
 
     def take(self, notice: Notice) -> None:
-        """Apply one notice: first to what is on its way to engines, then to the decisions."""
+        """Apply one notice: from here on nothing new goes to what it closes."""
         if notice.rev <= self.rev:
             return
         self.rev = notice.rev
         if notice.skipped:
             log.warning("notice %d: %d entries could not be read", notice.rev, notice.skipped)
+        closed: list[Member] = []
         if notice.complete:
             named = {entry.engine for entry in notice.entries}
             for engine in [name for name in self.members if name not in named]:
-                self._close(self.members.pop(engine), EngineState.GONE)
+                closed.append(self.members.pop(engine))
+                closed[-1].state = EngineState.GONE
         for entry in notice.entries:
-            self._apply(entry, notice.addresses[entry.engine])
+            self._apply(entry, notice.addresses[entry.engine], closed)
+        # The decisions hear of it before they hear of the sends that are taken back: else they would try there again.
         self.post(api.EngineList(notice.entries, complete=notice.complete))
+        for member in closed:
+            self.on_closed(member)
 
-    def _apply(self, entry: api.EngineEntry, address: tuple[str, int]) -> None:
+    def _apply(self, entry: api.EngineEntry, address: tuple[str, int], closed: list[Member]) -> None:
         member = self.members.get(entry.engine)
         if member is None:
             member = self.members[entry.engine] = Member(entry.engine, address, entry.state)
         elif member.address != address:
             member.address = address
             self.on_moved(member)
-        if entry.state is EngineState.UP:
-            member.state = entry.state
-            return
+        member.state = entry.state
         if entry.state is EngineState.GONE:
             del self.members[entry.engine]
-        self._close(member, entry.state)
-
-    def _close(self, member: Member, state: EngineState) -> None:
-        member.state = state
-        self.on_closed(member)
+        if entry.state is not EngineState.UP:
+            closed.append(member)
 
     def find(self, engine: str) -> Member | None:
         """The engine, where something new may go to it."""
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -25,6 +25,20 @@
 RID = re.compile(r"[0-9a-fA-F]{16}")
 
 
+class Written(Raw):
+    """An answer that tells its client when it is with the kernel."""
+
+    __slots__ = ("then",)
+
+    def __init__(self, data: bytes, then: Callable[[], None]) -> None:
+        super().__init__(data)
+        self.then = then
+
+    def written(self) -> None:
+        """Tell."""
+        self.then()
+
+
 class ThriftCaller:
     """A call that waits for its answer."""
 
@@ -86,7 +100,7 @@
 
     def _data(self) -> None:
         self.used_ms = self.front.now_ms()
-        while self.conn.state is State.OPEN:
+        while self.conn.state is State.OPEN and not self.conn.paused:
             frame = thrift.next_frame(self.conn.inbound)
             if frame is None:
                 return
@@ -106,7 +120,7 @@
                 self.front.admit.leave(found)
         elif isinstance(call, thrift.Check):
             good = self.front.good()
-            self.conn.send(Raw(thrift.answer("check", call.seqid, b"", {}, good)))
+            self._write(thrift.answer("check", call.seqid, b"", {}, good))
         elif call.seqid is None:
             log.warning("client closed: %s", call.why)
             self.conn.close("malformed")
@@ -115,7 +129,7 @@
 
     def _complain(self, seqid: int, name: str, kind: int, why: str) -> None:
         log.warning("call turned away: %s", why)
-        self.conn.send(Raw(thrift.application_exception(name, seqid, kind, why)))
+        self._write(thrift.application_exception(name, seqid, kind, why))
 
     def _execute(self, call: thrift.Execute) -> None:
         if call.seqid in self.open:
@@ -132,16 +146,22 @@
         self.front.admit.take(taken)
 
     def _pace(self) -> None:
-        """Read no more while the client owes it to take answers, or has too much open."""
-        self.conn.pause(len(self.open) >= OPEN_MOST or len(self.conn.outbox) >= OPEN_MOST)
+        """Read no more while the client has too much open or takes no answers; go on once that is over."""
+        paused = len(self.open) >= OPEN_MOST or len(self.conn.outbox) >= OPEN_MOST
+        if self.conn.paused and not paused:  # whole calls may lie in the ring, and no event will tell of them
+            self.front.loop.call_later(0, self.conn.process)
+        self.conn.pause(paused)
+
+    def _write(self, data: bytes) -> None:
+        self.conn.send(Written(data, self._pace))
+        self._pace()
 
     def reply(self, seqid: int, data: bytes) -> None:
         """Write the answer of an open call."""
         if self.open.pop(seqid, None) is None:
             return
         self.used_ms = self.front.now_ms()
-        self.conn.send(Raw(data))
-        self._pace()
+        self._write(data)
 
     def _closed(self, why: str) -> None:
         self.front.clients.discard(self)
