A late load at the head of its key's line has the room of a timely query

At fault: _room in decide.py gives what is past its aim LATE_FULL (0.9). One late head then stands till its deadline, and all behind it are late as well.

--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -91,3 +91,19 @@
     name, actions = bench.arrive("load", 25_000, key="other")
     assert [send.request for send in only(actions, api.Send)] == [name]
     assert len(only(bench.log, api.Send)) == 2
+
+
+@pytest.mark.parametrize("behind", [0, 1])
+def test_a_late_load_with_others_of_its_key_behind_it_has_the_room_of_a_timely_query(behind):
+    """Found on a day with a busy key: one late load held its line for 20 s, and all behind it came late too."""
+    cls = api.QueryClass("load", 1000, 25_000, 7, api.Effect.UNSAFE, in_order=True, late_worth=0.5)
+    bench = Bench(make_settings(cls), engines=1)
+    bench.feed(api.ProbeEnded("e0", api.Ending.SERVED, 1.0, api.LoadReport(held=8.0)))
+    bench.gateway.full, bench.gateway.gateways, bench.gateway.own_at = 0.7, 8, bench.now
+    bench.arrive("load", 25_000, key="busy")
+    late = bench.gateway.requests["r1"]
+    for _ in range(behind):
+        bench.arrive("load", 25_000, key="busy")
+    assert late.held
+    bench.gateway.full, late.late = 2.4, True
+    assert [send.request for send in only(bench.tick(), api.Send)] == ["r1"] * behind
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -483,7 +483,9 @@
         return load if engine.reported else max(load, self.mean_load)
 
     def _room(self, request: _Request) -> float:
-        if request.late:
+        # A late head of a line has the room of a timely query: all behind it wait until it has run or is given up.
+        line = self.lines.get(request.key) if request.key is not None else None
+        if request.late and not (line and len(line.turn) > 1):
             return LATE_FULL
         return self.full * (SHORT_PART if self._short(request) else 1.0)
 
