--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -119,6 +119,14 @@
     def expect(self, peer: Peer, text: bytes) -> None:
         self.until(lambda: text in peer.read())
 
+    def begun(self) -> tuple[Peer, str, Peer]:
+        """A client, the id of its request, and the engine that has it."""
+        client = self.client()
+        rid = self.ask(client)
+        engine = self.accept("s-0")
+        self.expect(engine, b"REQ")
+        return client, rid, engine
+
     def answer(self, client: Peer) -> bytes:
         """The next frame."""
         found = []
@@ -215,10 +223,7 @@
 
 def test_an_interrupt_stops_the_attempt_and_nothing_is_answered(rig):
     rig = rig()
-    client = rig.client()
-    rid = rig.ask(client)
-    engine = rig.accept("s-0")
-    rig.expect(engine, b"REQ")
+    client, rid, engine = rig.begun()
     call = struct.pack(">Ii9siBhiB", 0x80010004, 9, b"interrupt", 2, 8, 1, 1, 0)
     client.sock.send(struct.pack(">i", len(call)) + call)
     rig.expect(engine, f"STOP {rid}\r\n".encode())
@@ -229,10 +234,7 @@
 
 def test_a_silent_engine_costs_one_refusal_before_the_deadline_and_a_stop(rig):
     rig = rig()
-    client = rig.client()
-    rid = rig.ask(client)
-    engine = rig.accept("s-0")
-    rig.expect(engine, b"REQ")
+    client, rid, engine = rig.begun()
     rig.later(1980)
     assert b"backoff" in rig.answer(client)
     rig.later(100)
@@ -271,10 +273,7 @@
 
 def test_a_connection_about_to_idle_out_is_not_used_again(rig):
     rig = rig()
-    client = rig.client()
-    rid = rig.ask(client)
-    engine = rig.accept("s-0")
-    rig.expect(engine, b"REQ")
+    client, rid, engine = rig.begun()
     engine.sock.send(f"{rid} HIT count=1 2\r\na\n\r\n".encode())
     rig.answer(client)
     for probe in engine.read().split(b"STAT ")[1:]:
