Read the configuration again on SIGHUP; never serve an answer that is not of the form

Checked: the logs of name lines too long, not text and bodies not closed by CR LF, all of which already ended their connection, and copies ('unexpected HIT'), which were dropped; so what passed was read as a good answer. next_reply (protocol/engine.py) took a line without a length as an empty body for any word, Relay._first took a missing count for 1, and no page was looked at. Ruled out: two answers to one call (Book.served closes the ticket first). At fault: engine.next_reply, Relay._first, _part and _page; cli.serve; NoticeBoard could not move and waited 50 ms after every break, doubling. Now: lines must have the form with a known word, HIT and PART a length, at most 6,000 bytes of whole rows of three columns, HIT a count; else the connection closes.

--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import json
 import socket
 import struct
@@ -169,10 +170,10 @@
     rid = rig.ask(client)
     engine = rig.accept("s-0")
     rig.expect(engine, b"REQ %b lane=lookup,ttl=2000 26\r\nselect * from park_1.sites\r\n" % rid.encode())
-    engine.sock.send(f"{rid} INFO why=done,reading=0.5 0\r\n\r\n{rid} HIT count=3 2\r\na\n\r\n".encode())
+    engine.sock.send(f"{rid} INFO why=done,reading=0.5 0\r\n\r\n{rid} HIT count=3 6\r\na\t1\t2\n\r\n".encode())
     rig.expect(engine, f"FETCH {rid} 1\r\nFETCH {rid} 2\r\n".encode())
-    engine.sock.send(f"{rid} PART pos=2 2\r\nc\n\r\n{rid} PART pos=1 2\r\nb\n\r\n".encode())
-    assert b"a\nb\nc\n" in rig.answer(client)
+    engine.sock.send(f"{rid} PART pos=2 6\r\nc\t1\t2\n\r\n{rid} PART pos=1 6\r\nb\t1\t2\n\r\n".encode())
+    assert b"a\t1\t2\nb\t1\t2\nc\t1\t2\n" in rig.answer(client)
     rig.expect(engine, f"END {rid}\r\n".encode())
     assert not rig.broker.book.tickets and not rig.broker.gateway.attempts
 
@@ -186,7 +187,7 @@
     engine = rig.accept(name)
     rig.expect(engine, b"park_1.sites\r\n")
     if word == "page":
-        engine.sock.send(f"{rid} HIT count=2 2\r\na\n\r\n".encode())
+        engine.sock.send(f"{rid} HIT count=2 6\r\na\t1\t2\n\r\n".encode())
         rig.expect(engine, b"FETCH")
     if word == "FAULT":
         engine.sock.send(f"{rid} FAULT - 0\r\n\r\n".encode())
@@ -227,7 +228,7 @@
     call = struct.pack(">Ii9siBhiB", 0x80010004, 9, b"interrupt", 2, 8, 1, 1, 0)
     client.sock.send(struct.pack(">i", len(call)) + call)
     rig.expect(engine, f"STOP {rid}\r\n".encode())
-    engine.sock.send(f"{rid} HIT count=1 2\r\na\n\r\n".encode())  # late: nobody waits for it
+    engine.sock.send(f"{rid} HIT count=1 6\r\na\t1\t2\n\r\n".encode())  # late: nobody waits for it
     rig.later(3000)
     assert client.read() == b"" and not rig.broker.book.tickets and not rig.broker.gateway.requests
 
@@ -274,7 +275,7 @@
 def test_a_connection_about_to_idle_out_is_not_used_again(rig):
     rig = rig()
     client, rid, engine = rig.begun()
-    engine.sock.send(f"{rid} HIT count=1 2\r\na\n\r\n".encode())
+    engine.sock.send(f"{rid} HIT count=1 6\r\na\t1\t2\n\r\n".encode())
     rig.answer(client)
     for probe in engine.read().split(b"STAT ")[1:]:
         engine.sock.send(probe.split()[0] + b" PONG - 0\r\n\r\n")
@@ -289,6 +290,68 @@
     rig.expect(rig.accept("board"), b"GET /board/poll?watch=1&linger=")
 
 
+def test_a_new_configuration_moves_the_poll_at_once_and_the_numbers_go_on(rig):
+    rig = rig()
+    rig.listeners["other"] = rig._listen()
+    fresh = copy.deepcopy(rig.broker.config)
+    fresh.board = rig.listeners["other"].getsockname()
+    rig.broker.reread = lambda: fresh
+    rig.broker.reload()
+    rig.later(120)
+    rig.expect(rig.accept("other"), b"GET /board/poll?watch=1&linger=")
+    rig.until(lambda: rig.board.read() is not None and rig.board.ended)
+
+
+def test_a_new_configuration_that_cannot_be_used_changes_nothing(rig, caplog):
+    rig = rig()
+
+    def broken():
+        raise config.ConfigError("lacks 'board'")
+
+    rig.broker.reread = broken
+    rig.broker.reload()
+    rig.later(120)
+    assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == [
+        "configuration kept, the new one can't be used: lacks 'board'"]
+    assert not rig.board.ended and rig.broker.board.conn.state.value == "open"
+
+
+def test_a_board_that_breaks_off_is_asked_again_at_once(rig):
+    rig = rig()
+    rig.expect(rig.board, b"GET")
+    rig.board.sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{\"rev\":2,")
+    rig.broker.loop.step(5)
+    rig.board.sock.close()
+    rig.expect(rig.accept("board"), b"GET /board/poll?watch=1&linger=")  # no time has passed
+
+
+@pytest.mark.parametrize("line", [
+    b"HIT count=1\r\n", b"HIT - 6\r\na\t1\t2\n\r\n", b"HIT count=99 6\r\na\t1\t2\n\r\n", b"HIT count=1 4\r\na\t1\n\r\n",
+    b"HIT count=1 5\r\na\t1\t2\r\n", b"HIT count=1 6\r\na\t\0\t2\n\r\n", b"HIT count=1 6\r\n\xff\t1\t2\n\r\n",
+    b"HIT count=2 6\r\na\t1\t2\n\r\n%b PART pos=2 6\r\na\t1\t2\n\r\n", b"HIT count=1 6001\r\na\t1",
+    b"YES count=1 0\r\n\r\n"])
+def test_a_spoilt_answer_is_never_served_and_its_connection_closes(rig, line):
+    rig = rig()
+    client = rig.client()
+    rid = rig.ask(client, "load", obj="k").encode()
+    engine = rig.accept("s-0")
+    rig.expect(engine, b"park_1.sites\r\n")
+    engine.sock.send(rid + b" " + line.replace(b"%b", rid))
+    assert struct.pack(">bh", 12, 2) in rig.answer(client)  # Aborted: it may have run
+    rig.until(lambda: engine.read() is not None and engine.ended)
+    assert rig.broker.book.counts["served"] == 0
+
+
+def test_what_comes_twice_or_under_an_unknown_id_is_dropped_and_the_connection_kept(rig):
+    rig = rig()
+    client, rid, engine = rig.begun()
+    once = f"{rid} HIT count=1 6\r\na\t1\t2\n\r\n".encode()
+    engine.sock.send(b"f" * 16 + once[16:] + once + once)
+    assert b"a\t1\t2\n" in rig.answer(client)
+    rig.later(100)
+    assert not engine.ended and rig.broker.book.counts["served"] == 1 and not client.read()
+
+
 def test_after_sigterm_it_is_not_good_yet_serves_and_then_ends(rig):
     rig = rig()
     check = struct.pack(">Ii5siBhBB", 0x80010001, 5, b"check", 1, 2, 1, 0, 0)
@@ -306,8 +369,8 @@
     rig.expect(engine, b"REQ")
     rig.later(800)
     assert rig.broker.loop.running
-    engine.sock.send(f"{rid} HIT count=1 2\r\na\n\r\n".encode())
-    assert b"a\n" in rig.answer(other)
+    engine.sock.send(f"{rid} HIT count=1 6\r\na\t1\t2\n\r\n".encode())
+    assert b"a\t1\t2\n" in rig.answer(other)
     rig.later(200)
     assert not rig.broker.loop.running
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -4,6 +4,11 @@
 
 import copy
 import json
+import os
+import signal
+import socket
+import subprocess
+import sys
 
 import pytest
 
@@ -56,3 +61,25 @@
     assert cli.main(["check-config"]) == 0 and cli.main(["version"]) == 0
     told = capsys.readouterr().out
     assert "n0: listens on" in told and "umberusher 0.1.0" in told
+
+
+def test_sighup_is_outlived_from_the_first(tmp_path):
+    """The very program: a SIGHUP right after it listens, then SIGTERM; it ends with 0."""
+    file = tmp_path / "config.json"
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    file.write_text(json.dumps(CONF | {"listen": f"127.0.0.1:{port}", "board": "127.0.0.1:1"}))
+    env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")} | {"LB_CONFIG": str(file)}
+    with subprocess.Popen([sys.executable, "-m", "umberusher", "serve"], env=env, stderr=subprocess.PIPE,
+                          text=True) as broker:
+        told = ""
+        while "listens on" not in told:
+            told = broker.stderr.readline()
+            assert told
+        broker.send_signal(signal.SIGHUP)
+        while "configuration read again" not in told:
+            told = broker.stderr.readline()
+            assert told
+        broker.send_signal(signal.SIGTERM)
+        broker.stderr.read()
+    assert broker.returncode == 0
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from umberusher import interface as api
-from umberusher.config import Config
+from umberusher.config import Config, ConfigError
 from umberusher.decide import Gateway
 from umberusher.net.loop import Loop
 from umberusher.noticeboard import NoticeBoard
@@ -39,9 +39,10 @@
 class Broker:
     """One broker, wired together."""
 
-    def __init__(self, config: Config, loop: Loop | None = None,
-                 clock: Callable[[], float] = time.time) -> None:
+    def __init__(self, config: Config, loop: Loop | None = None, clock: Callable[[], float] = time.time,
+                 reread: Callable[[], Config] | None = None) -> None:
         self.config, self.loop, self.clock = config, loop or Loop(), clock
+        self.reread, self.reloading = reread, False
         self.gateway = Gateway(config.settings, config.seed)
         self.queue: deque[api.Event] = deque()
         self.pumping = False
@@ -133,7 +134,26 @@
         if self.stopping_at is None:
             self.stopping_at = self.clock()
 
+    def reload(self) -> None:
+        """Have the configuration read again at the next sweep; safe to call from a signal handler."""
+        self.reloading = True
+
+    def _reload(self) -> None:
+        """Follow the notice board that the file names now; a file that can't be used changes nothing."""
+        self.reloading = False
+        try:
+            found = self.reread() if self.reread else self.config
+        except ConfigError as error:
+            log.error("configuration kept, the new one can't be used: %s", error)
+            return
+        log.info("configuration read again: notice board at %s:%d", *found.board)
+        if (found.listen, found.settings) != (self.config.listen, self.config.settings):
+            log.warning("configuration: all but the notice board's address counts from the next start")
+        self.board.move(found.board)
+
     def _sweep(self) -> None:
+        if self.reloading:
+            self._reload()
         self.send.close_idle()
         held = resident_mb()
         # Guards against being killed for memory: nothing more is taken until it falls.
--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -18,11 +18,14 @@
 
 
 def serve(args: argparse.Namespace) -> int:
-    """Run one broker until SIGTERM."""
+    """Run one broker until SIGTERM; SIGHUP has the configuration read again."""
+    # Guards against a SIGHUP before the broker is there: its default would end the process. The file is read after.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     config = _config()
     logging.basicConfig(stream=sys.stderr, level=args.log_level.upper(),
                         format="%(asctime)s %(levelname)s %(name)s: %(message)s")
-    broker = Broker(config)
+    broker = Broker(config, reread=_config)
+    signal.signal(signal.SIGHUP, lambda *_: broker.reload())
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: broker.stop())
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
--- a/umberusher/noticeboard.py
+++ b/umberusher/noticeboard.py
@@ -7,13 +7,13 @@
 
 from umberusher.net import connection
 from umberusher.net.connection import Connection, Raw, State
-from umberusher.net.loop import Loop
+from umberusher.net.loop import Loop, Timer
 from umberusher.protocol.board import BoardFault, Notice, PollClient, notices
 
 log = logging.getLogger(__name__)
 LINGER_MS = 2_000  # of one poll: what the board tells counts as told after 7 s, so silence must show long before
 SILENT_MS = 700.0  # beyond that an answer is not coming any more
-RETRY_MS, RETRY_MOST_MS = 50.0, 800.0  # wait before a new connection, doubling
+RETRY_MS, RETRY_MOST_MS = 50.0, 800.0  # wait before a further new connection, doubling; the first comes at once
 BUFFER = 1 << 16
 
 
@@ -23,7 +23,8 @@
     def __init__(self, loop: Loop, address: tuple[str, int], rev: Callable[[], int],
                  take: Callable[[Notice], None]) -> None:
         self.loop, self.address, self.rev, self.take = loop, address, rev, take
-        self.retry_ms = RETRY_MS
+        self.retry_ms = 0.0
+        self.timer: Timer | None = None  # the one thing that is waited for: a new try, or an answer
         self.conn: Connection | None = None
         self.closed = False
 
@@ -41,13 +42,28 @@
         self.loop.spawn(conn.serve())
 
     def _later(self, why: str) -> None:
-        if self.conn:
-            self.timer.cancel()
-            self.conn = None
+        self._drop()
         if not self.closed:
             log.warning("notice board: %s", why)
-            self.loop.call_later(self.retry_ms, self.start)
-            self.retry_ms = min(2 * self.retry_ms, RETRY_MOST_MS)
+            self.timer = self.loop.call_later(self.retry_ms, self.start)
+            self.retry_ms = min(max(2 * self.retry_ms, RETRY_MS), RETRY_MOST_MS)
+
+    def _drop(self) -> None:
+        """Let go of the connection and of what was waited for."""
+        if self.timer:
+            self.timer.cancel()
+        conn, self.conn = self.conn, None
+        if conn:
+            conn.on_closed = lambda why: None
+            conn.close("dropped")
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Ask at another address from now on, from the last number; the old board is asked no more."""
+        if address == self.address or self.closed:
+            return
+        self.address, self.retry_ms = address, 0.0
+        self._drop()
+        self.start()
 
     def _ask(self) -> None:
         conn = self.conn
@@ -68,21 +84,21 @@
         if isinstance(found, BoardFault):
             conn.close(found.why)
             return
-        self.retry_ms = RETRY_MS
+        self.retry_ms = 0.0
         quick = not found and self.loop.clock() - self.asked_at < LINGER_MS / 2000
         for notice in found:
             self.take(notice)
         if not self.client.reusable:
             conn.close("not kept open")
         elif quick:  # guards against a board that doesn't wait: asked again and again it would take the core
-            self.loop.call_later(RETRY_MOST_MS, self._ask)
+            self.timer.cancel()
+            self.timer = self.loop.call_later(RETRY_MOST_MS, self._ask)
         else:
             self._ask()
 
     def close(self) -> None:
         """End it."""
         self.closed = True
-        if self.conn:
-            self.conn.close("the broker ends")
+        self._drop()
 
 
--- a/umberusher/protocol/engine.py
+++ b/umberusher/protocol/engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 from umberusher import interface as api
@@ -9,7 +10,10 @@
 from umberusher.net.ring import Ring
 
 MAX_LINE = 4096
-MAX_BODY = 1 << 17  # a page holds 6,000 bytes; more than this is no answer
+MAX_BODY = 6_000  # of a page; an answer that claims more is spoilt
+WORDS = frozenset(["HIT", "SHED", "FAULT", "LATE", "INFO", "PART", "PONG", "SICK"])
+_COLUMN = rb"[^\t\n\x00-\x08\x0b-\x1f\x7f]*"
+_ROWS = re.compile(rb"(?:%b\t%b\t%b\n)*" % (_COLUMN, _COLUMN, _COLUMN))
 # Report fields by the operators' words; the settings may name them by the wire's instead.
 REPORT = wire.REPORT | {"inflight": "held", "queue": "waiting", "util": "busy", "latency_ms": "service_ms",
                         "qps": "served_per_s", "eps": "errors_per_s"}
@@ -43,10 +47,20 @@
     return " ".join([word, *map(str, words)]).encode() + b"\r\n"
 
 
-def _fields(text: str) -> dict[str, str]:
+def _fields(text: str) -> dict[str, str] | None:
     if text == "-":
         return {}
-    return {key: value for key, _, value in (pair.partition("=") for pair in text.split(","))}
+    pairs = [pair.partition("=") for pair in text.split(",")]
+    return {key: value for key, _, value in pairs} if all(key and mark for key, mark, _ in pairs) else None
+
+
+def whole_rows(page: bytes) -> bool:
+    """Whether a page holds whole rows of three text columns, as every page does that arrives unspoilt."""
+    try:
+        page.decode("utf-8")
+    except UnicodeDecodeError:
+        return False
+    return _ROWS.fullmatch(page) is not None
 
 
 def next_reply(ring: Ring) -> Reply | Unreadable | None:
@@ -58,21 +72,27 @@
         words = ring.peek(end).decode("ascii").split()
     except UnicodeDecodeError:
         return Unreadable("line is not text")
-    if len(words) < 2:
-        return Unreadable("line of fewer than two words")
-    if len(words) < 3 or not words[-1].isdigit():
+    # Guards against a line that was cut or spoilt: without its length a HIT would pass for an empty result.
+    if len(words) == 3 and words[1] not in ("HIT", "PART"):
+        words.append("")  # no length, no body
+    if len(words) != 4 or words[1] not in WORDS or not (words[3].isdigit() or not words[3]):
+        return Unreadable("line is no answer")
+    fields = _fields(words[2])
+    if fields is None:
+        return Unreadable("fields without names")
+    if not words[3]:
         ring.skip(end + 2)
-        return Reply(words[0], words[1], _fields(words[2]) if len(words) > 2 else {}, b"")
-    size = int(words[-1])
-    if size > MAX_BODY:
-        return Unreadable(f"body of {size} bytes")
+        return Reply(words[0], words[1], fields, b"")
+    if len(words[3]) > 9 or int(words[3]) > MAX_BODY:
+        return Unreadable(f"body of {words[3][:20]} bytes")
+    size = int(words[3])
     if len(ring) < end + 2 + size + 2:
         return None
     ring.skip(end + 2)
     body = ring.take(size)
     if ring.take(2) != b"\r\n":
         return Unreadable("body not closed by CR LF")
-    return Reply(words[0], words[1], _fields(words[2]) if len(words) > 3 else {}, body)
+    return Reply(words[0], words[1], fields, body)
 
 
 def report(fields: dict[str, str]) -> api.LoadReport | None:
--- a/umberusher/stages/relay.py
+++ b/umberusher/stages/relay.py
@@ -12,8 +12,8 @@
 from umberusher.ticket import Attempt, Fault, Reach
 
 log = logging.getLogger(__name__)
-MAX_PAGES = 1024
-MAX_RESULT = 1 << 19  # bytes; a result holds 48,000 at the most
+MAX_RESULT = 48_000  # bytes
+MAX_PAGES = 64  # a page of whole rows is seldom far under 6,000 bytes
 
 
 class Relay:
@@ -49,11 +49,17 @@
             attempt.link.tell("END", attempt.ticket.rid)
         self.book.faulted(attempt, Fault(reach, why, len(attempt.pages)), codec.report(reply.fields))
 
+    def _spoilt(self, attempt: Attempt, why: str) -> None:
+        """Guards against an answer that reads like one and is none: after it nothing on its connection is believed."""
+        attempt.reach = max(attempt.reach, Reach.ANSWERED)
+        log.warning("engine %s: spoilt: %s", attempt.engine, why)
+        attempt.link.conn.close(f"spoilt: {why}")
+
     def _first(self, attempt: Attempt, reply: codec.Reply) -> None:
-        text = reply.fields.get("count", "1")
-        count = max(int(text), 1) if text.isdigit() else 0  # an empty result has its page 0 too
+        text = reply.fields.get("count", "")
+        count = int(text) if text.isdigit() and len(text) < 9 else 0
         if not 0 < count <= MAX_PAGES:
-            self._lost(attempt, f"a result of {text[:20]} pages", reply)
+            self._spoilt(attempt, f"a result of {text[:20]!r} pages")
             return
         attempt.count, attempt.reach = count, Reach.ANSWERED
         self._page(attempt, 0, reply)
@@ -65,18 +71,21 @@
 
     def _part(self, attempt: Attempt, reply: codec.Reply) -> None:
         text = reply.fields.get("pos", "")
-        number = int(text) if text.isdigit() else 0
+        number = int(text) if text.isdigit() and len(text) < 9 else 0
         if not 0 < number < attempt.count:
-            self._lost(attempt, f"a page numbered {text[:20]!r}", reply)
+            self._spoilt(attempt, f"a page numbered {text[:20]!r}")
         elif number not in attempt.pages:
             attempt.reach = Reach.PAGE
             self._page(attempt, number, reply)
 
     def _page(self, attempt: Attempt, number: int, reply: codec.Reply) -> None:
+        if not codec.whole_rows(reply.body) or number and not reply.body:
+            self._spoilt(attempt, f"page {number} is not of whole rows")
+            return
         attempt.pages[number] = reply.body
         attempt.size += len(reply.body)
         if attempt.size > MAX_RESULT:
-            self._lost(attempt, "a result too large", reply)
+            self._spoilt(attempt, "a result too large")
         elif len(attempt.pages) == attempt.count:
             self._done(attempt, reply)
 
