Close silent and half connections, bound floods and memory, blame no engine for a client's doing

Checked: memory by quarter; a ring that once held a 48 KB answer kept 64 KiB for good (ring.KEPT), times 1,700 clients that ask once and stay; timers called off stayed in the heap until their time (loop). Ruled out: the module's tables (engines, lines, attempts end with their engines; only Counter zeros of groups stayed).

--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -4,6 +4,7 @@
 
 import copy
 import json
+import logging
 import os
 import signal
 import socket
@@ -83,3 +84,21 @@
         broker.send_signal(signal.SIGTERM)
         broker.stderr.read()
     assert broker.returncode == 0
+
+
+def test_lines_of_one_kind_are_few_and_the_rest_are_counted():
+    now, told = [0.0], []
+    handler = logging.Handler()
+    handler.emit = lambda record: told.append(record.getMessage())
+    handler.addFilter(cli.Sparing(lambda: now[0]))
+    log = logging.Logger("test")
+    log.addHandler(handler)
+    for number in range(100):
+        log.warning("call %d", number)
+    log.warning("another")
+    assert len(told) == cli.LINES + 1
+    now[0] = 1.0
+    for number in range(100, 200):
+        log.warning("call %d", number)
+    assert told[cli.LINES + 1] == f"call 100 ({100 - cli.LINES} more like it were left out)"
+    assert len(told) == 2 * cli.LINES + 1
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -135,6 +135,28 @@
         model = model[size:]
 
 
+def test_an_empty_ring_gives_its_memory_back():
+    ring = Ring(1 << 20)
+    ring.write(b"x" * 50_000)
+    ring.take(50_000)
+    assert ring.held == 4096
+    ring.rest()
+    assert ring.held <= 64 and ring.write(b"y" * 5000) and ring.take(5000) == b"y" * 5000
+
+
+def test_timers_called_off_are_cleared_out_before_their_time():
+    loop = Loop(lambda: 0.0)
+    fired = []
+    kept = [loop.call_later(5000, lambda n=n: fired.append(n)) for n in range(10)]
+    for _ in range(5000):
+        loop.call_later(25_000, kept.clear).cancel()
+    assert len(loop._timers) < 200
+    loop.clock = lambda: 6.0
+    loop.step(0)
+    assert fired == list(range(10))
+    loop.close()
+
+
 def test_a_hook_that_raises_closes_its_connection_only():
     loop = Loop()
     ours, peer = socket.socketpair()
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -108,3 +108,41 @@
             bench.run(7000)
             answers = only(bench.log, (api.Refuse, api.Fail))
             assert len(answers) == 20 and len(only(bench.log, api.Send)) <= 20
+
+
+def test_a_query_that_errs_on_two_engines_is_answered_and_no_engine_is_left_out():
+    bench = Bench(engines=4)
+    for _ in range(20):
+        name, actions = bench.arrive()
+        for _ in range(2):
+            send, = only(actions, api.Send)
+            actions = bench.finish(send, api.Ending.ERROR)
+        assert not only(actions, api.Send) and only(actions, api.Refuse)[0].request == name
+    assert all(engine.shut_until < bench.now for engine in bench.gateway.engines.values())
+
+
+def test_an_engine_that_errs_where_others_serve_is_left_out():
+    bench = Bench(engines=4)
+    for _ in range(60):
+        _, actions = bench.arrive()
+        while sends := only(actions, api.Send):
+            actions = bench.finish(sends[0], api.Ending.ERROR if sends[0].engine == "e0" else api.Ending.SERVED)
+    assert bench.gateway.engines["e0"].shut_until > bench.now
+
+
+def test_a_reset_leaves_an_engine_alone_for_a_moment_only_and_a_refused_connection_for_longer():
+    for ending, rest in ((api.Ending.RESET, 150.0), (api.Ending.NO_CONNECTION, 500.0)):
+        bench = Bench(engines=4)
+        _, actions = bench.arrive()
+        send, = only(actions, api.Send)
+        bench.finish(send, ending)
+        assert bench.gateway.engines[send.engine].shut_until == bench.now + rest
+
+
+def test_groups_of_tables_seen_are_not_kept():
+    load = api.QueryClass("load", 1000, 6000, 1, api.Effect.UNSAFE, holds_group=True)
+    bench = Bench(make_settings(load))
+    for group in range(50):
+        _, actions = bench.arrive("load", group=group)
+        bench.finish(only(actions, api.Send)[0])
+    assert not any(engine.loads for engine in bench.gateway.engines.values())
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -19,7 +19,7 @@
 from umberusher.stages.relay import Relay
 from umberusher.stages.route import Route
 from umberusher.stages.send import Send
-from umberusher.stages.take_in import TakeIn
+from umberusher.stages.take_in import Form, TakeIn
 
 log = logging.getLogger(__name__)
 RESERVED = 24  # descriptors for the listener, the loop, the notice board and the standard streams
@@ -58,7 +58,8 @@
                          keepalive_ms=config.keepalive_ms, most=for_engines)
         self.admit = Admit(self.book, self.send, self.post, config.max_open,
                            limits.max_retry_after_ms if limits.retry_after else None)
-        self.front = TakeIn(self.loop, self.admit, self.now_ms, self.good, descriptors - for_engines)
+        self.front = TakeIn(self.loop, self.admit, self.now_ms, self.good, descriptors - for_engines,
+                            Form(config.settings), config.memory_mb)
         self.board = NoticeBoard(self.loop, config.board, lambda: self.route.rev, self.route.take)
         self.carry: dict[type, Callable[..., None]] = {
             api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self.book.refuse,
@@ -154,7 +155,8 @@
     def _sweep(self) -> None:
         if self.reloading:
             self._reload()
-        self.send.close_idle()
+        self.front.sweep()
+        self.send.sweep()
         held = resident_mb()
         # Guards against being killed for memory: nothing more is taken until it falls.
         self.admit.tight = held > TIGHT_PART * self.config.memory_mb
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -57,7 +57,8 @@
 # -- Health
 BACKOFF_MS, BACKOFF_MAX_MS = 500.0, 8_000.0  # first and longest ejection; doubles with failures in a row
 FULL_MS = 150.0  # an engine that turned a query away is left alone for this long
-ERRORS = 3  # error answers in a row that eject
+ERRORS = 3  # error answers in a row that eject, each to a query that another engine then served
+ERRED_MOST = 2  # error answers after which it is the query that is at fault
 # -- Cold start (share)
 COLD_PART, COLD_CHANCE = 0.55, 0.4  # part used of this gateway's share; part of that left to chance
 COLD_SAVED, COLD_LARGEST = 0.5, 0.9  # windows of its share saved up; largest query, of the whole budget
@@ -102,6 +103,7 @@
         self.doubt: list[tuple[_Engine, float]] = []  # attempts that may have run: engine, send time
         self.ended = self.streaming = self.late = self.held = False
         self.avoid: _Engine | None = None
+        self.erred: list[_Engine] = []  # engines that answered with an error
         self.rank, self.terms = (False, 0.0), -1
 
 
@@ -633,6 +635,8 @@
         self.own_at = self.now
         if request.cls.holds_group:
             engine.loads[request.group] -= 1
+            if not engine.loads[request.group]:
+                del engine.loads[request.group]  # groups come from clients' texts: any number of them
         request.out.pop(event.attempt, None)
         if not event.ending.never_ran and event.ending is not Ending.SERVED:
             request.doubt.append((engine, attempt.sent_at))
@@ -654,7 +658,7 @@
         """One more attempt where the rules allow it, else the final answer."""
         request.avoid = attempt.engine
         if (request.sent < self.limits.max_attempts and self.now < request.deadline
-                and not (request.cls.effect is Effect.UNSAFE and request.doubt)
+                and len(request.erred) < ERRED_MOST and not (request.cls.effect is Effect.UNSAFE and request.doubt)
                 and self._may_repeat(request, attempt.engine)):
             self._hold(request, front=True)
         else:
@@ -666,17 +670,19 @@
         if ending is Ending.SERVED:
             engine.fails = engine.errors = 0
             self._learn(request, attempt, event)
+            for other in request.erred:  # now it shows that the query was good
+                other.errors += 1
+                if other.errors >= ERRORS:
+                    self._eject(other)
         elif ending not in (Ending.MOOT, Ending.CANCELLED):
             engine.odds = max(engine.odds * (1 - PENALTY), self.floor)
             engine.uncredited = max(engine.uncredited - 1, 0)
-            if ending in (Ending.NO_CONNECTION, Ending.RESET):
+            if ending is Ending.NO_CONNECTION:
                 self._eject(engine)
-            elif ending is Ending.FULL:
+            elif ending in (Ending.FULL, Ending.RESET):  # a dead engine shows at the next connection
                 engine.shut_until = max(engine.shut_until, self.now + FULL_MS)
             elif ending is Ending.ERROR:
-                engine.errors += 1
-                if engine.errors >= ERRORS:
-                    self._eject(engine)
+                request.erred.append(engine)
 
     def _eject(self, engine: _Engine) -> None:
         if engine.shut_until <= self.now:
--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -81,6 +81,17 @@
             self._flush()
             self._watch()
 
+    def ended(self) -> bool:
+        """Whether the other side has closed, with nothing left to read; no event may have told of it yet."""
+        if self.state is not State.OPEN:
+            return self.state is State.CLOSED
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
     def withdraw(self, message: Message) -> bool:
         """Take a message back that has not begun."""
         if message in self.outbox:
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -31,14 +31,16 @@
 class Timer:
     """A call planned for later; it can be called off."""
 
-    __slots__ = ("call", "when")
+    __slots__ = ("call", "loop", "when")
 
-    def __init__(self, when: float, call: Callable[[], None]) -> None:
-        self.when, self.call = when, call
+    def __init__(self, when: float, call: Callable[[], None], loop: Loop) -> None:
+        self.when, self.call, self.loop = when, call, loop
 
     def cancel(self) -> None:
         """Call it off; harmless once it has fired."""
-        self.call = None
+        if self.call is not None:
+            self.call = None
+            self.loop.called_off()
 
 
 class Loop:
@@ -50,16 +52,24 @@
         self._parked: dict[int, Coroutine] = {}
         self._masks: dict[int, int] = {}
         self._timers: list[tuple[float, int, Timer]] = []
-        self._count = 0
+        self._count = self._off = 0
         self.running = False
 
     def call_later(self, delay_ms: float, call: Callable[[], None]) -> Timer:
         """Plan a call."""
-        timer = Timer(self.clock() + max(delay_ms, 0.0) / 1000.0, call)
+        timer = Timer(self.clock() + max(delay_ms, 0.0) / 1000.0, call, self)
         self._count += 1
         heapq.heappush(self._timers, (timer.when, self._count, timer))
         return timer
 
+    def called_off(self) -> None:
+        """Guards memory: nearly all timers are called off long before their time, so they are cleared out at times."""
+        self._off += 1
+        if self._off > 64 and 2 * self._off > len(self._timers):
+            self._timers = [item for item in self._timers if item[2].call is not None]
+            heapq.heapify(self._timers)
+            self._off = 0
+
     def spawn(self, coroutine: Coroutine) -> None:
         """Start a coroutine; it runs up to its first wait at once."""
         self._resume(coroutine, None)
@@ -95,6 +105,7 @@
         """Wait for events or the next timer, then run what is ready."""
         while self._timers and self._timers[0][2].call is None:
             heapq.heappop(self._timers)
+            self._off -= 1
         timeout = longest_ms / 1000.0
         if self._timers:
             timeout = min(timeout, max(self._timers[0][0] - self.clock(), 0.0))
@@ -107,8 +118,11 @@
     def _fire(self) -> None:
         now = self.clock()
         while self._timers and self._timers[0][0] <= now:
-            call = heapq.heappop(self._timers)[2].call
-            if call is not None:
+            timer = heapq.heappop(self._timers)[2]
+            call, timer.call = timer.call, None
+            if call is None:
+                self._off -= 1
+            else:
                 try:
                     call()
                 except Exception:
--- a/umberusher/net/ring.py
+++ b/umberusher/net/ring.py
@@ -4,8 +4,8 @@
 
 import socket
 
-FIRST = 4096  # bytes a ring starts with
-KEPT = 65536  # an empty ring that grew past this gives the memory back
+FIRST = 4096  # bytes a ring takes up at first; an empty one that grew past this gives the memory back
+BARE = 64  # bytes of a ring that holds nothing and rests
 
 
 class Ring:
@@ -14,7 +14,7 @@
     def __init__(self, limit: int, first: int = FIRST) -> None:
         self.limit = limit
         self._first = min(first, limit)
-        self._data = bytearray(self._first)
+        self._data = bytearray(min(BARE, limit))
         self._head = self._size = 0
 
     def __len__(self) -> int:
@@ -65,7 +65,7 @@
     def fill(self, sock: socket.socket) -> int:
         """Read from a socket once; 0 at its end, and only where there is room for more."""
         if self._size == len(self._data):
-            self._reserve(self._size + 1)
+            self._reserve(max(self._size + 1, self._first))
         low, high = self._spans(self._head + self._size, len(self._data) - self._size)[0]
         with memoryview(self._data) as view:
             count = sock.recv_into(view[low:high])
@@ -90,9 +90,14 @@
         self._size -= size
         if not self._size:
             self._head = 0
-            if len(self._data) > KEPT:
+            if len(self._data) > self._first:
                 self._data = bytearray(self._first)
 
+    def rest(self) -> None:
+        """Give back what an empty ring holds: hundreds of connections may stay open and say nothing."""
+        if not self._size and len(self._data) > BARE:
+            self._data, self._head = bytearray(min(BARE, self.limit)), 0
+
     def take(self, size: int) -> bytes:
         """The first ``size`` bytes, which are dropped."""
         data = self.peek(size)
--- a/umberusher/protocol/thrift.py
+++ b/umberusher/protocol/thrift.py
@@ -7,7 +7,7 @@
 
 from umberusher.net.ring import Ring
 
-MAX_FRAME = 1 << 20  # bytes; a larger body closes the connection
+MAX_FRAME = 1 << 20  # bytes, whatever the memory; a larger one closes the connection
 VERSION = 0x80010000
 CALL, REPLY, EXCEPTION, ONEWAY = 1, 2, 3, 4
 STOP, BOOL, BYTE, DOUBLE, I16, I32, I64, STRING, STRUCT, MAP, SET, LIST = 0, 2, 3, 4, 6, 8, 10, 11, 12, 13, 14, 15
@@ -120,12 +120,12 @@
         return self.number(">i")
 
 
-def next_frame(ring: Ring) -> bytes | Malformed | None:
-    """The next whole frame; None while more bytes are needed."""
+def next_frame(ring: Ring, most: int = MAX_FRAME) -> bytes | Malformed | None:
+    """The next whole frame, of at most so many bytes; None while more bytes are needed."""
     if len(ring) < 4:
         return None
     size = struct.unpack(">i", ring.peek(4))[0]
-    if not 0 < size <= MAX_FRAME:
+    if not 0 < size <= most:
         return Malformed(f"frame of {size} bytes")
     if len(ring) < 4 + size:
         return None
--- a/umberusher/stages/relay.py
+++ b/umberusher/stages/relay.py
@@ -83,6 +83,7 @@
             self._spoilt(attempt, f"page {number} is not of whole rows")
             return
         attempt.pages[number] = reply.body
+        attempt.heard_ms = self.book.now_ms()
         attempt.size += len(reply.body)
         if attempt.size > MAX_RESULT:
             self._spoilt(attempt, "a result too large")
@@ -90,10 +91,14 @@
             self._done(attempt, reply)
 
     def _done(self, attempt: Attempt, reply: codec.Reply) -> None:
-        """END goes first, so that the engine is free of it before the decisions hear of the outcome."""
+        """END goes first, so that the engine is free of it before the decisions hear of the outcome.
+
+        The link lets go before that: a connection that has failed meanwhile must not take a whole result with it.
+        """
+        rows = b"".join(attempt.pages[number] for number in range(attempt.count) if attempt.ticket.open)
+        attempt.link.release(attempt)
         attempt.link.tell("END", attempt.ticket.rid)
         if attempt.ticket.open:
-            rows = b"".join(attempt.pages[number] for number in range(attempt.count))
             self.book.served(attempt, rows, codec.report(reply.fields))
         else:
             self.book.ended(attempt, Ending.SERVED, codec.report(reply.fields))
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -24,6 +24,8 @@
 PROBE_MS = 2_000.0  # a probe that has brought nothing by then brings nothing
 IDLE_MARGIN_MS = 1_000.0  # a connection this near to idling out is not used again
 RETIRED_MOST = 256  # given-up ids remembered for a connection; then it takes no more
+HALF_MS = 500.0  # for the rest of an answer that has begun
+PAGES_MS = 1_500.0  # for the next page of a result that has begun
 
 
 @dataclass(slots=True, eq=False)
@@ -65,6 +67,7 @@
         self.probes: dict[str, Probing] = {}
         self.retired: set[str] = set()  # ids given up here: late lines of theirs may still come
         self.used_ms = send.now_ms()
+        self.half_ms: float | None = None  # since when there is a part of an answer
         conn.on_open, conn.on_data, conn.on_closed = self._opened, self._data, self._closed
         self.timer = send.loop.call_later(send.connect_timeout_ms, self._too_slow)
 
@@ -81,7 +84,10 @@
         while self.conn.state is State.OPEN:
             reply = codec.next_reply(self.conn.inbound)
             if reply is None:
+                if len(self.conn.inbound) and self.half_ms is None:
+                    self.half_ms = self.used_ms
                 return
+            self.half_ms = None
             if isinstance(reply, codec.Unreadable):
                 log.warning("engine %s: %s", self.engine, reply.why)
                 self.conn.close(f"unreadable: {reply.why}")
@@ -91,6 +97,17 @@
                 self.owner.probe_ended(reply.id, self.probes[reply.id], reply)
             # What is left is a late line of an id that was given up: nobody waits for it.
 
+    def stalled(self, now_ms: float) -> str:
+        """Why nothing more is to be hoped for from this connection; empty where there is hope.
+
+        Guards against answers that break off while the connection stays open: all others on it would wait in vain.
+        """
+        if self.half_ms is not None and now_ms - self.half_ms > HALF_MS:
+            return "half an answer"
+        if any(attempt.count and now_ms - attempt.heard_ms > PAGES_MS for attempt in self.attempts.values()):
+            return "pages stopped"
+        return ""
+
     def _closed(self, why: str) -> None:
         self.timer.cancel()
         self.owner.drop(self)
@@ -169,6 +186,10 @@
         if isinstance(link, str):
             self.book.faulted(attempt, Fault(Reach.NOT_CONNECTED, link))
             return
+        if link is None:
+            # Guards engines against being left out for this broker's own want of descriptors.
+            self.book.ended(attempt, Ending.FULL)
+            return
         attempt.timer = self.loop.call_later(until - now, lambda: self.give_up(attempt, Ending.TIMEOUT))
         link.carry(attempt)
 
@@ -181,6 +202,9 @@
             link.retired.add(attempt.ticket.rid)
             link.tell("STOP", attempt.ticket.rid)
             self.book.ended(attempt, ending)
+        elif not attempt.ticket.open:
+            # Guards healthy engines: 'no connection' would have the decisions leave them out, though they did nothing.
+            self.book.ended(attempt, Ending.MOOT)
         else:
             self.book.faulted(attempt, Fault(Reach.NOT_WRITTEN, "given up before it was sent"))
 
@@ -199,17 +223,22 @@
 
     # -- Connections
 
-    def _pick(self, member: Member, rid: str) -> Link | str:
-        """An open connection with room, else one that is coming up, else a new one."""
+    def _pick(self, member: Member, rid: str) -> Link | str | None:
+        """An open connection with room, else one that is coming up, else a new one; None without a descriptor for it.
+
+        One that the engine has closed is not written to: what the kernel still takes would be in doubt for nothing.
+        """
         now = self.now_ms()
-        links = [link for link in self.links.get(member.engine, ()) if link.usable(rid, now)]
-        if links:
-            return min(links, key=lambda link: (link.conn.state is not State.OPEN, len(link.attempts)))
+        while links := [link for link in self.links.get(member.engine, ()) if link.usable(rid, now)]:
+            link = min(links, key=lambda link: (link.conn.state is not State.OPEN, len(link.attempts)))
+            if not link.conn.ended():
+                return link
+            link.conn.close("ended by the engine")
         return self._connect(member)
 
-    def _connect(self, member: Member) -> Link | str:
+    def _connect(self, member: Member) -> Link | str | None:
         if sum(map(len, self.links.values())) >= self.most and not self._spare():
-            return "too many connections to engines"
+            return None
         conn = connection.connect(self.loop, member.address, INBOUND, OUTBOUND)
         if isinstance(conn, str):
             return conn
@@ -244,13 +273,25 @@
                 if engine or link.expiring(now) or self.route.find(name) is None:
                     self._close_if_idle(link)
 
+    def sweep(self) -> None:
+        """Close what idles, what has carried its fill, and what is waited for in vain."""
+        self.close_idle()
+        now = self.now_ms()
+        for link in [link for links in self.links.values() for link in links]:
+            why = link.stalled(now)
+            if why:
+                log.warning("engine %s: %s", link.engine, why)
+                link.conn.close(why)
+            elif len(link.retired) >= RETIRED_MOST:
+                self._close_if_idle(link)
+
     # -- Probes
 
     def probe(self, engine: str) -> None:
         """Ask an engine for its load."""
         member = self.route.find(engine)
         link = self._pick(member, "") if member else "the engine takes nothing new"
-        if isinstance(link, str):
+        if not isinstance(link, Link):
             self.post(api.ProbeEnded(engine, Ending.NO_CONNECTION, 0.0))
             return
         tag = f"p{next(self._tags)}"
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -17,12 +17,23 @@
 from umberusher.ticket import Ticket
 
 log = logging.getLogger(__name__)
-INBOUND = thrift.MAX_FRAME + 4  # one frame of the largest size fits
+FRAME_PART = 1 / 256  # of the memory: the largest frame
+LARGE, LARGE_PART = 1 << 15, 1 / 8  # frames over this many bytes that are under way; all together, of the memory
 OUTBOUND = 1 << 20  # an answer is 48,000 bytes of rows at the most
-OPEN_MOST = 64  # open calls of one connection; clients promise 32
+OPEN_MOST = 32  # open calls of one connection: what clients promise
+UNWRITTEN_MOST = 64  # answers that a client has not read, before it is read no more itself
+ASK_MS = 2_000.0  # from a connection's start to its first whole call, and for the rest of a call that has begun
+IDLE_MS = 10_000.0  # without a call; clients close after 4 s
+UNREAD_MS = 30_000.0  # with answers that the client doesn't read
+REST_MS = 1_000.0  # quiet for this long, a connection gives its buffers back
 ACCEPTS = 64  # connections accepted in one go, so that open ones get their turn
 PAUSE_MS = 20.0  # rest of the listener when descriptors have run out
 RID = re.compile(r"[0-9a-fA-F]{16}")
+NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,20})?([eE][+-]?[0-9]{1,2})?")
+SPARE_MS = 1_000.0  # by which a budget may pass its class's deadline
+WORK_MOST = 1_000.0  # times its class's deadline: an estimate over this is none
+MEMORY_MOST, LARGEST_MB = 10.0, 1e6  # times the largest engine's memory: the same; that memory where it is not told
+KEY_MOST = 256  # characters
 
 
 class Written(Raw):
@@ -53,34 +64,57 @@
 
     def refused(self, backoff_ms: float | None) -> None:
         """Trylater."""
-        fields = {} if backoff_ms is None else {"backoff": str(round(backoff_ms))}
-        self.client.reply(self.seqid, thrift.trylater(self.seqid, fields))
+        self.client.reply(self.seqid, trylater(self.seqid, backoff_ms))
 
     def failed(self, why: str) -> None:
         """Aborted."""
         self.client.reply(self.seqid, thrift.aborted(self.seqid, {"reason": why}))
 
 
-def ticket(call: thrift.Execute, caller: ThriftCaller, now_ms: float) -> Ticket | str:
+def trylater(seqid: int, backoff_ms: float | None) -> bytes:
+    """A refusal, with the time to stay away where there is one."""
+    return thrift.trylater(seqid, {} if backoff_ms is None else {"backoff": str(round(backoff_ms))})
+
+
+class Form:
+    """What the settings let a call say; the rest is turned away before the decisions see it.
+
+    Guards against figures that would move what the decisions hold usual, and against calls that engines can't use.
+    """
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self.memory_most = MEMORY_MOST * max((kind.memory_mb or LARGEST_MB for kind in settings.kinds),
+                                              default=LARGEST_MB)
+
+    def ranges(self, cls: api.QueryClass) -> tuple[tuple[str, float, float], ...]:
+        """Each number's name with its least and its most."""
+        return (("budget", 1.0, cls.deadline_ms + SPARE_MS), ("est", 0.0, WORK_MOST * max(cls.deadline_ms, 1.0)),
+                ("ram", 0.0, self.memory_most))
+
+
+def ticket(call: thrift.Execute, caller: ThriftCaller, now_ms: float, form: Form) -> Ticket | str:
     """A call as a ticket; a text that tells what is wrong with it."""
     fields = call.fields
     rid, method = fields.get("rid", ""), fields.get("method", "")
     if not RID.fullmatch(rid):
         return "field rid must be 16 hex digits"
-    if not re.fullmatch(r"[\w.-]{1,64}", method):
+    cls = form.classes.get(method)
+    if cls is None:
         return "field method must name a class"
     numbers: dict[str, float | None] = {}
-    for name, low, high in (("budget", 1.0, 3.6e6), ("est", 0.0, 1e12), ("ram", 0.0, 1e12)):
-        try:
-            numbers[name] = float(fields[name]) if name in fields else None
-        except ValueError:
+    for name, low, high in form.ranges(cls):
+        if name in fields and not NUMBER.fullmatch(fields[name]):
             return f"field {name} must be a number"
-        if numbers[name] is not None and not low <= numbers[name] <= high:  # also what is not a number
+        numbers[name] = float(fields[name]) if name in fields else None
+        if numbers[name] is not None and not low <= numbers[name] <= high:
             return f"field {name} is out of range"
     if numbers["budget"] is None:
         return "field budget is missing"
     if fields.get("again", "0") not in ("0", "1"):
         return "field again must be 1 or absent"
+    if cls.in_order and not 0 < len(fields.get("obj", "")) <= KEY_MOST:
+        return "field obj must name the key"
     group = statement.table_group(call.body)
     if isinstance(group, statement.BadStatement):
         return f"statement: {group.why}"
@@ -96,14 +130,19 @@
         self.front, self.conn = front, conn
         self.open: dict[int, Ticket] = {}
         self.used_ms = front.now_ms()
+        self.asked = False  # a whole call has come
+        self.half_ms: float | None = self.used_ms  # since when a call, or the first one, is waited for
         conn.on_data, conn.on_closed = self._data, self._closed
 
     def _data(self) -> None:
         self.used_ms = self.front.now_ms()
         while self.conn.state is State.OPEN and not self.conn.paused:
-            frame = thrift.next_frame(self.conn.inbound)
+            frame = thrift.next_frame(self.conn.inbound, self.front.frame_most)
             if frame is None:
+                self._half()
                 return
+            self.asked, self.half_ms = True, None
+            self.front.large.discard(self)
             if isinstance(frame, thrift.Malformed):
                 # Guards against a stream that has lost its frames: nothing after this can be read.
                 log.warning("client closed: %s", frame.why)
@@ -111,6 +150,33 @@
                 return
             self._call(thrift.decode(frame))
 
+    def _half(self) -> None:
+        """Only a part of a call is here, or nothing."""
+        size = len(self.conn.inbound)
+        if size and self.half_ms is None:
+            self.half_ms = self.used_ms
+        if size > LARGE and self not in self.front.large:
+            if len(self.front.large) >= self.front.large_most:
+                # Guards memory: many endless calls at once would fill it.
+                log.warning("client closed: too many large calls under way")
+                self.conn.close("no room")
+                return
+            self.front.large.add(self)
+
+    def overdue(self, now_ms: float) -> str:
+        """Why this connection has been waited for long enough; empty where it has not."""
+        quiet = now_ms - self.used_ms
+        if quiet > REST_MS:
+            self.conn.inbound.rest()
+            self.conn.outbound.rest()
+        if not self.conn.idle:
+            return "takes no answers" if quiet > UNREAD_MS else ""
+        if self.open:
+            return ""
+        if self.half_ms is not None and now_ms - self.half_ms > ASK_MS:
+            return "half a call" if self.asked or len(self.conn.inbound) else "never asked"
+        return "idle" if quiet > IDLE_MS else ""
+
     def _call(self, call: thrift.Execute | thrift.Interrupt | thrift.Check | thrift.Malformed) -> None:
         if isinstance(call, thrift.Execute):
             self._execute(call)
@@ -137,7 +203,12 @@
             log.warning("client closed: sequence number %s is open already", call.seqid)
             self.conn.close("malformed")
             return
-        taken = ticket(call, ThriftCaller(self, call.seqid), self.front.now_ms())
+        if len(self.open) >= OPEN_MOST:
+            # Guards against floods: one client's hundreds would be held by the decisions before everyone else's.
+            log.warning("call refused: %d are open on its connection", OPEN_MOST)
+            self._write(trylater(call.seqid, self.front.admit.backoff_ms))
+            return
+        taken = ticket(call, ThriftCaller(self, call.seqid), self.front.now_ms(), self.front.form)
         if isinstance(taken, str):
             self._complain(call.seqid, "execute", thrift.PROTOCOL_ERROR, taken)
             return
@@ -146,8 +217,8 @@
         self.front.admit.take(taken)
 
     def _pace(self) -> None:
-        """Read no more while the client has too much open or takes no answers; go on once that is over."""
-        paused = len(self.open) >= OPEN_MOST or len(self.conn.outbox) >= OPEN_MOST
+        """Read no more while the client takes no answers; go on once that is over."""
+        paused = len(self.conn.outbox) >= UNWRITTEN_MOST
         if self.conn.paused and not paused:  # whole calls may lie in the ring, and no event will tell of them
             self.front.loop.call_later(0, self.conn.process)
         self.conn.pause(paused)
@@ -165,6 +236,7 @@
 
     def _closed(self, why: str) -> None:
         self.front.clients.discard(self)
+        self.front.large.discard(self)
         left, self.open = list(self.open.values()), {}
         for each in left:
             self.front.admit.leave(each)
@@ -174,8 +246,11 @@
     """The listener and its clients."""
 
     def __init__(self, loop: Loop, admit: Admit, now_ms: Callable[[], float], good: Callable[[], bool],
-                 most: int) -> None:
-        self.loop, self.admit, self.now_ms, self.good, self.most = loop, admit, now_ms, good, most
+                 most: int, form: Form, memory_mb: float) -> None:
+        self.loop, self.admit, self.now_ms, self.good, self.most, self.form = loop, admit, now_ms, good, most, form
+        self.frame_most = min(int(memory_mb * 1e6 * FRAME_PART), thrift.MAX_FRAME)
+        self.large_most = max(int(memory_mb * 1e6 * LARGE_PART / self.frame_most), 1)
+        self.large: set[Client] = set()  # with more than LARGE bytes of an unfinished call
         self.clients: set[Client] = set()
         self.listener: socket.socket | None = None
 
@@ -222,17 +297,29 @@
             log.warning("client turned away: %d connections are open", len(self.clients))
             sock.close()
             return
-        conn = connection.accepted(self.loop, sock, INBOUND, OUTBOUND)
+        conn = connection.accepted(self.loop, sock, self.frame_most + 4, OUTBOUND)
         self.clients.add(Client(self, conn))
         self.loop.spawn(conn.serve())
 
     def _evict(self) -> bool:
-        """Close the connection without open calls that has been quiet for longest."""
-        quiet = [c for c in self.clients if not c.open and c.conn.idle and not len(c.conn.inbound)]
+        """Close the connection without open calls that has been quiet for longest, first of those in half a call."""
+        quiet = [c for c in self.clients if not c.open and c.conn.idle]
         if quiet:
-            min(quiet, key=lambda c: c.used_ms).conn.close("evicted")
+            min(quiet, key=lambda c: (c.half_ms is None, c.used_ms)).conn.close("evicted")
         return bool(quiet)
 
+    def sweep(self) -> None:
+        """Close what has been waited for long enough.
+
+        Guards against clients that connect and say nothing, or begin a call and don't finish it: they are owed an end
+        within 3 s, and their connections are wanted by others.
+        """
+        now = self.now_ms()
+        for client in list(self.clients):
+            why = client.overdue(now)
+            if why:
+                client.conn.close(why)
+
     @property
     def idle(self) -> bool:
         """No call is open and all answers are with the kernel."""
--- a/umberusher/ticket.py
+++ b/umberusher/ticket.py
@@ -82,5 +82,6 @@
     pages: dict[int, bytes] = field(default_factory=dict)
     count: int = 0  # pages of the result, once known
     size: int = 0  # bytes of the pages that have come
+    heard_ms: float = 0.0  # when the last one came
     link: Link | None = None
     timer: Timer | None = None
