--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -146,3 +146,13 @@
         _, actions = bench.arrive("load", group=group)
         bench.finish(only(actions, api.Send)[0])
     assert not any(engine.loads for engine in bench.gateway.engines.values())
+
+
+def test_an_engine_that_leaves_a_probe_unanswered_is_left_out_until_it_answers_one():
+    bench = Bench(engines=4)
+    bench.feed(api.ProbeEnded("e0", api.Ending.TIMEOUT, 250.0, None))
+    sends = [send for _ in range(12) for send in only(bench.arrive()[1], api.Send)]
+    assert len(sends) == 12 and "e0" not in {send.engine for send in sends}
+    bench.feed(api.ProbeEnded("e0", api.Ending.SERVED, 1.0, api.LoadReport(held=0.0)))
+    sends = [send for _ in range(20) for send in only(bench.arrive()[1], api.Send)]
+    assert "e0" in {send.engine for send in sends}
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -70,6 +70,7 @@
 SURVEY_MS = 50.0  # how old the means over the pool may be; reports are older than that anyway
 PROBE_MS = 1_000.0  # how often each engine is asked for its load at most
 PROBE_RATE = 0.2  # probes for each query taken, on average
+MUTE_MS = 2_500.0  # an engine that leaves a probe unanswered is left alone until it answers one, or for this long
 RESUBSCRIBE_MS = 1_000.0  # wait after a failed call for the list
 
 
@@ -77,7 +78,7 @@
     def __init__(self, entry: api.EngineEntry, odds: float) -> None:
         self.id, self.odds, self.born = entry.engine, odds, entry.started_ms
         self.zone, self.kind, self.cell, self.cores = entry.zone, entry.kind, entry.cell, 1.0
-        self.up, self.listed, self.reported = True, True, False
+        self.up, self.listed, self.reported, self.mute = True, True, False, False
         self.threads = self.others = self.slow = 0.0
         self.count = self.uncredited = self.fails = self.errors = 0
         self.shut_until = self.probed_at = self.heard_at = -math.inf
@@ -746,6 +747,15 @@
             self.actions.append(api.Probe(engine.id))
 
     def _probe_ended(self, event: api.ProbeEnded) -> None:
-        if event.engine in self.engines and event.report:
-            self._report(self.engines[event.engine], event.report)
+        engine = self.engines.get(event.engine)
+        if engine is None:
+            return
+        if event.ending is Ending.TIMEOUT:
+            # Guards against hung engines: they take queries and answer none, and their last report looks well.
+            engine.mute = self.unseen = True
+            engine.shut_until = max(engine.shut_until, self.now + MUTE_MS)
+        elif engine.mute:
+            engine.mute, engine.shut_until, self.unseen = False, self.now, True
+        if event.report:
+            self._report(engine, event.report)
             self._dispatch()
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -21,7 +21,7 @@
 log = logging.getLogger(__name__)
 INBOUND = codec.MAX_LINE + codec.MAX_BODY + 2
 OUTBOUND = (1 << 20) + codec.MAX_LINE  # the largest statement with its line
-PROBE_MS = 2_000.0  # a probe that has brought nothing by then brings nothing
+PROBE_MS = 500.0  # a probe that has brought nothing by then brings nothing
 IDLE_MARGIN_MS = 1_000.0  # a connection this near to idling out is not used again
 RETIRED_MOST = 256  # given-up ids remembered for a connection; then it takes no more
 HALF_MS = 500.0  # for the rest of an answer that has begun
