Close a dead connection once its engine answers on another; let short memory end

Seen on reading: with mute engines left out, a probe on a connection that resets ended as a time-out and left out a healthy engine for 2.5 s (Link._closed); one dead connection did the same to its engine, and all that was out on it waited till its deadline. Broker._sweep refused while 75 in 100 of memory was resident, which may never fall. Checked by tests on sockets: both fail without the change.

--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -595,3 +595,54 @@
     engine.sock.send(f"{rid} HIT count=1 6\r\na\t1\t2\n\r\n".encode())
     assert b"a\t1\t2\n" in rig.answer(client)
     assert rig.broker.book.counts["attempt served"] == 1
+
+
+def test_a_connection_that_brings_nothing_is_dead_once_its_engine_answers_on_another(rig):
+    rig = rig()
+    client = rig.client()
+    rid = rig.ask(client, "load", obj="k", budget="20000")
+    engine = rig.accept("s-0")
+    rig.expect(engine, b"REQ")
+    rig.broker.send.probe("s-0")
+    rig.later(800)
+    link, = rig.broker.send.links["s-0"]
+    assert link.suspect and rid in rig.broker.book.tickets
+    rig.later(1800)
+    rig.broker.send.probe("s-0")
+    other = rig.accept("s-0")
+    rig.expect(other, b"STAT ")
+    other.sock.send(other.read().split()[1] + b" PONG rep=inflight:0 0\r\n\r\n")
+    rig.until(lambda: engine.read() is not None and engine.ended)
+    assert struct.pack(">bh", 12, 2) in rig.answer(client)  # Aborted: it may have run
+
+
+def test_a_connection_that_brings_anything_is_not_dead(rig):
+    rig = rig()
+    client, rid, engine = rig.begun()
+    rig.broker.send.probe("s-0")
+    rig.later(300)
+    engine.sock.send(f"{rid} INFO why=done,reading=0.1 0\r\n\r\n".encode())
+    rig.later(500)
+    link, = rig.broker.send.links["s-0"]
+    assert not link.suspect and not link.probes
+
+
+def test_short_memory_ends_with_the_crowd_that_filled_it(rig):
+    broker = rig().broker
+    assert not broker._tight(0.7, 50)
+    assert broker._tight(0.8, 100) and broker._tight(0.8, 60)
+    assert not broker._tight(0.8, 50)  # what is free now is used again
+    assert broker._tight(0.95, 1)
+    assert not broker._tight(0.7, 500) and broker.crowd is None
+
+
+def test_a_probe_on_a_connection_that_resets_does_not_make_its_engine_mute(rig):
+    rig = rig()
+    client, rid, engine = rig.begun()
+    rig.broker.send.probe("s-0")
+    engine.sock.close()
+    rig.until(lambda: not rig.broker.send.links)
+    assert not rig.broker.gateway.engines["s-0"].mute
+    rig.broker.send.probe("s-0")
+    rig.later(600)
+    assert rig.broker.gateway.engines["s-0"].mute
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -25,7 +25,7 @@
 RESERVED = 24  # descriptors for the listener, the loop, the notice board and the standard streams
 ENGINE_PART = 0.3  # of the others, those kept for engines
 SWEEP_MS = 100.0
-TIGHT_PART = 0.75  # of the memory limit, above which nothing more is taken
+TIGHT_PART, FULL_PART = 0.75, 0.92  # of the memory limit, above which little more is taken, and nothing
 LINGER_S = 1.0  # after SIGTERM new requests go on coming for 0.6 s
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
@@ -47,6 +47,7 @@
         self.queue: deque[api.Event] = deque()
         self.pumping = False
         self.stopping_at: float | None = None
+        self.crowd: int | None = None  # most requests that were open since memory became short
         limits = config.settings.limits
         descriptors = config.sockets - RESERVED
         for_engines = int(descriptors * ENGINE_PART)
@@ -157,9 +158,7 @@
             self._reload()
         self.front.sweep()
         self.send.sweep()
-        held = resident_mb()
-        # Guards against being killed for memory: nothing more is taken until it falls.
-        self.admit.tight = held > TIGHT_PART * self.config.memory_mb
+        self.admit.tight = self._tight(resident_mb() / self.config.memory_mb, len(self.book.tickets))
         if self.stopping_at is not None:
             passed = self.clock() - self.stopping_at
             longest = max(item.deadline_ms for item in self.config.settings.classes) / 1000
@@ -169,6 +168,18 @@
                 return
         self.loop.call_later(SWEEP_MS, self._sweep)
 
+    def _tight(self, part: float, count: int) -> bool:
+        """Whether memory is near its limit: nothing more is taken until it falls, or what is open has halved.
+
+        Guards against being killed for memory, and against refusing for ever: freed memory is used again by the next
+        requests, but seldom goes back to the system.
+        """
+        if part <= TIGHT_PART:
+            self.crowd = None
+            return False
+        self.crowd = count if self.crowd is None else max(self.crowd, count)
+        return part > FULL_PART or count > self.crowd / 2
+
     def run(self) -> None:
         """Serve until stopped and all that was taken is answered."""
         self.start()
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -753,7 +753,7 @@
             # Guards against hung engines: they take queries and answer none, and their last report looks well.
             engine.mute = self.unseen = True
             engine.shut_until = max(engine.shut_until, self.now + MUTE_MS)
-        elif engine.mute:
+        elif engine.mute and event.ending is Ending.SERVED:
             engine.mute, engine.shut_until, self.unseen = False, self.now, True
         if event.report:
             self._report(engine, event.report)
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -25,6 +25,7 @@
 IDLE_MARGIN_MS = 1_000.0  # a connection this near to idling out is not used again
 RETIRED_MOST = 256  # given-up ids remembered for a connection; then it takes no more
 HALF_MS = 500.0  # for the rest of an answer that has begun
+DEAD_MS = 2_500.0  # silence of a connection in doubt; engines that work tell of each query every second
 PAGES_MS = 1_500.0  # for the next page of a result that has begun
 
 
@@ -66,8 +67,9 @@
         self.messages: dict[str, Outgoing] = {}
         self.probes: dict[str, Probing] = {}
         self.retired: set[str] = set()  # ids given up here: late lines of theirs may still come
-        self.used_ms = send.now_ms()
+        self.used_ms = self.heard_ms = send.now_ms()
         self.half_ms: float | None = None  # since when there is a part of an answer
+        self.suspect = False  # a probe brought nothing, and nothing else has come since
         conn.on_open, conn.on_data, conn.on_closed = self._opened, self._data, self._closed
         self.timer = send.loop.call_later(send.connect_timeout_ms, self._too_slow)
 
@@ -80,7 +82,8 @@
         self.conn.close("connect: timed out")
 
     def _data(self) -> None:
-        self.used_ms = self.owner.now_ms()
+        self.used_ms = self.heard_ms = self.owner.now_ms()
+        self.suspect = False
         while self.conn.state is State.OPEN:
             reply = codec.next_reply(self.conn.inbound)
             if reply is None:
@@ -113,13 +116,13 @@
         self.owner.drop(self)
         for attempt in list(self.attempts.values()):
             self.owner.book.faulted(attempt, Fault(attempt.reach, why, len(attempt.pages)))
-        for tag, probe in list(self.probes.items()):
-            self.owner.probe_ended(tag, probe, None)
+        for tag, probe in list(self.probes.items()):  # not a time-out: it tells nothing of whether the engine is silent
+            self.owner.probe_ended(tag, probe, None, Ending.RESET)
 
     def usable(self, rid: str, now_ms: float) -> bool:
         """Whether this attempt may go over it."""
         return (len(self.attempts) < self.owner.multiplex and rid not in self.attempts
-                and rid not in self.retired and len(self.retired) < RETIRED_MOST
+                and rid not in self.retired and len(self.retired) < RETIRED_MOST and not self.suspect
                 and not self.expiring(now_ms))
 
     def expiring(self, now_ms: float) -> bool:
@@ -282,7 +285,7 @@
             if why:
                 log.warning("engine %s: %s", link.engine, why)
                 link.conn.close(why)
-            elif len(link.retired) >= RETIRED_MOST:
+            elif link.suspect or len(link.retired) >= RETIRED_MOST:
                 self._close_if_idle(link)
 
     # -- Probes
@@ -300,13 +303,24 @@
         link.used_ms = self.now_ms()
         link.tell("STAT", tag)
 
-    def probe_ended(self, tag: str, probing: Probing, reply: codec.Reply | None) -> None:
+    def probe_ended(self, tag: str, probing: Probing, reply: codec.Reply | None,
+                    ending: Ending = Ending.TIMEOUT) -> None:
         """A probe has brought something, or nothing will come."""
         if probing.link.probes.pop(tag, None) is None:
             return
         probing.timer.cancel()
-        good = reply is not None and reply.word == "PONG"
-        ending = Ending.SERVED if good else Ending.ERROR if reply else Ending.TIMEOUT
+        link, good = probing.link, reply is not None and reply.word == "PONG"
+        if good:
+            # Guards against a connection that stays open and brings nothing any more, while its engine answers others:
+            # what is out on it would wait in vain. An engine that is silent on all of them may come to itself again.
+            since = self.now_ms() - DEAD_MS
+            links = self.links.get(probing.engine, ())
+            for other in [each for each in links if each.suspect and each.heard_ms < since]:
+                log.warning("engine %s: a connection is dead", probing.engine)
+                other.conn.close("dead")
+        elif reply is None and ending is Ending.TIMEOUT:
+            link.suspect = link.heard_ms <= probing.began_ms
+        ending = Ending.SERVED if good else Ending.ERROR if reply else ending
         self.post(api.ProbeEnded(probing.engine, ending, self.now_ms() - probing.began_ms,
                                  codec.report(reply.fields) if reply else None))
 
