Let pages that stop end their own request, not all that is out on the connection

Checked: other answers kept coming on those connections. Ruled out: CPU (0.51 of a core in the worst second), refusals (1 in 100). At fault: Link.stalled closed the connection for a page that is late. Now the attempt ends as an error, its END is written, nothing new goes over the connection until it brings something; a connection that is dead in truth shows at the next probes.

--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -107,10 +107,23 @@
         """
         if self.half_ms is not None and now_ms - self.half_ms > HALF_MS:
             return "half an answer"
-        if any(attempt.count and now_ms - attempt.heard_ms > PAGES_MS for attempt in self.attempts.values()):
-            return "pages stopped"
         return ""
 
+    def give_up_pages(self, now_ms: float) -> None:
+        """Give up the results whose pages have stopped.
+
+        Guards the others on the connection: one page that is late or lost says little of them, so that only nothing
+        new goes over it until it brings something.
+        """
+        for attempt in list(self.attempts.values()):
+            if attempt.count and now_ms - attempt.heard_ms > PAGES_MS:
+                log.warning("engine %s: pages stopped", self.engine)
+                self.suspect = self.heard_ms <= attempt.heard_ms
+                self.release(attempt)
+                self.retired.add(attempt.ticket.rid)
+                self.tell("END", attempt.ticket.rid)
+                self.owner.book.faulted(attempt, Fault(Reach.PAGE, "pages stopped", len(attempt.pages)))
+
     def _closed(self, why: str) -> None:
         self.timer.cancel()
         self.owner.drop(self)
@@ -285,7 +298,9 @@
             if why:
                 log.warning("engine %s: %s", link.engine, why)
                 link.conn.close(why)
-            elif link.suspect or len(link.retired) >= RETIRED_MOST:
+                continue
+            link.give_up_pages(now)
+            if link.suspect or len(link.retired) >= RETIRED_MOST:
                 self._close_if_idle(link)
 
     # -- Probes
