Close a connection whose pages stop where it has brought nothing else meanwhile

Its logs: four dead connections found by probes 2.5 s after their last byte, 17 attempts waiting on them till then. Checked: on rate+silent+leave, where a late page is no sign of death, other answers keep coming (50 a second); on the incident nothing comes at all. So what tells the two apart is whether the connection has brought anything since. At fault: Link.give_up_pages left a silent connection for the probes to find.

--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -112,13 +112,15 @@
     def give_up_pages(self, now_ms: float) -> None:
         """Give up the results whose pages have stopped.
 
-        Guards the others on the connection: one page that is late or lost says little of them, so that only nothing
-        new goes over it until it brings something.
+        Guards the others on the connection: one page that is late or lost says little of them while they get answers.
+        Where nothing else has come either, the connection is dead, and they would wait in vain.
         """
         for attempt in list(self.attempts.values()):
             if attempt.count and now_ms - attempt.heard_ms > PAGES_MS:
                 log.warning("engine %s: pages stopped", self.engine)
-                self.suspect = self.heard_ms <= attempt.heard_ms
+                if self.heard_ms <= attempt.heard_ms:
+                    self.conn.close("pages stopped")
+                    return
                 self.release(attempt)
                 self.retired.add(attempt.ticket.rid)
                 self.tell("END", attempt.ticket.rid)
