--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,20 @@
+"""The fixture that makes a rig and closes it after the test."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.rig import Rig
+
+
+@pytest.fixture
+def rig():
+    made = []
+
+    def make(engines: int = 1) -> Rig:
+        made.append(Rig(engines))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.close()
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,150 @@
+"""One broker on loopback sockets with its board, engines and clients, all played by a test."""
+
+from __future__ import annotations
+
+import json
+import socket
+
+from tests.test_codecs import execute
+from tests.test_config import CONF
+from umberusher import config
+from umberusher.broker import Broker
+from umberusher.net.loop import Loop
+from umberusher.net.ring import Ring
+from umberusher.protocol import board, thrift
+
+
+class Peer:
+    """A socket of the test's, read without waiting."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.got, self.ended = sock, b"", False
+        sock.setblocking(False)
+
+    def read(self) -> bytes:
+        try:
+            data = self.sock.recv(1 << 16)
+            self.ended = self.ended or not data
+            self.got += data
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.ended = True
+        return self.got
+
+
+class Rig:
+    """One broker with its board, engines and clients, all played by the test."""
+
+    def __init__(self, engines: int = 1) -> None:
+        self.now = 1_700_000_000.0
+        self.listeners = {name: self._listen() for name in ["board", *(f"s-{n}" for n in range(engines))]}
+        self.rev, self.peers = 0, []
+        conf = CONF | {"listen": "127.0.0.1:1", "board": self.address("board"),
+                       "known": self.notices(*[(f"s-{n}", f"s-{n}", "SERVING") for n in range(engines)], reset=True)}
+        parsed = config.parse(conf)
+        parsed.listen = ("127.0.0.1", 0)
+        self.broker = Broker(parsed, Loop(lambda: self.now), lambda: self.now)
+        self.broker.start()
+        self.board = self.accept("board")
+        self.seqid = 0
+
+    def _listen(self) -> socket.socket:
+        sock = socket.create_server(("127.0.0.1", 0))
+        sock.setblocking(False)
+        return sock
+
+    def address(self, name: str) -> str:
+        return f"127.0.0.1:{self.listeners[name].getsockname()[1]}"
+
+    def notices(self, *entries, reset=False) -> dict:
+        self.rev += 1
+        made = [{"instanceId": name, "hostPort": self.address(place), "zone": "room-a", "machineType": "std-8",
+                 "cell": 1, "lifecycle": state, "weight": 1, "startedAtMs": 0} for name, place, state in entries]
+        return {"rev": self.rev, "notices": [{"rev": self.rev, "pool": {"reset": reset, "instances": made}}]}
+
+    def news(self, *entries) -> None:
+        body = json.dumps(self.notices(*entries)).encode()
+        self.board.sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        self.until(lambda: self.broker.route.rev == self.rev)
+
+    def until(self, condition, steps: int = 200) -> None:
+        for _ in range(steps):
+            if condition():
+                return
+            self.broker.loop.step(5)
+        raise AssertionError("it did not come to that")
+
+    def later(self, ms: float, step: float = 20.0) -> None:
+        """Let time pass."""
+        for _ in range(int(ms // step)):
+            self.now += step / 1000
+            self.broker.loop.step(0)
+
+    def accept(self, name: str) -> Peer:
+        found = []
+
+        def come() -> bool:
+            try:
+                found.append(self.listeners[name].accept()[0])
+            except BlockingIOError:
+                return False
+            return True
+
+        self.until(come)
+        return self.keep(Peer(found[0]))
+
+    def keep(self, peer: Peer) -> Peer:
+        self.peers.append(peer)
+        return peer
+
+    def client(self) -> Peer:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+        sock.connect(self.broker.front.listener.getsockname())
+        return self.keep(Peer(sock))
+
+    def ask(self, client: Peer, method: str = "lookup", rid: str = "", **more) -> str:
+        self.seqid += 1
+        rid = rid or f"{self.seqid:016x}"
+        fields = {"method": method, "rid": rid, "budget": "2000"} | more
+        client.sock.send(execute(self.seqid, fields, b"select * from park_1.sites"))
+        self.until(lambda: rid in self.broker.book.tickets)
+        return rid
+
+    def expect(self, peer: Peer, text: bytes) -> None:
+        self.until(lambda: text in peer.read())
+
+    def begun(self) -> tuple[Peer, str, Peer]:
+        """A client, the id of its request, and the engine that has it."""
+        client = self.client()
+        rid = self.ask(client)
+        engine = self.accept("s-0")
+        self.expect(engine, b"REQ")
+        return client, rid, engine
+
+    def answer(self, client: Peer) -> bytes:
+        """The next frame."""
+        found = []
+
+        def come() -> bool:
+            ring = Ring(1 << 20)
+            ring.write(client.read())
+            frame = thrift.next_frame(ring)
+            if frame is None:
+                return False
+            client.got = ring.take(len(ring))
+            found.append(frame)
+            return True
+
+        self.until(come)
+        return found[0]
+
+    def close(self) -> None:
+        self.broker.close()
+        for sock in [*self.listeners.values(), *(peer.sock for peer in self.peers)]:
+            sock.close()
+
+    def notice(self, *entries, reset: bool = False) -> board.Notice:
+        """The next notice, as a value."""
+        return board.notices(self.notices(*entries, reset=reset), 0)[0]
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -33,12 +33,16 @@
     path.write_text(json.dumps(CONF))
     found = config.load({"LB_CONFIG": str(path), "LB_NAME": "n7", "LB_LISTEN": "127.0.0.2:81"})
     assert (found.name, found.listen, found.seed) == ("n7", ("127.0.0.2", 81), 0x8C1F30D27A5BE964)
-    assert found.settings.classes[1].in_order and found.multiplex == 32
+    assert found.settings.classes[1].in_order and found.multiplex == 32 and found.admin is None
+    path.write_text(json.dumps(CONF | {"admin": "127.0.0.1:82"}))
+    assert config.load({"LB_CONFIG": str(path)}).admin == ("127.0.0.1", 82)
+    assert config.load({"LB_CONFIG": str(path), "LB_ADMIN": "127.0.0.1:83"}).admin == ("127.0.0.1", 83)
 
 
 @pytest.mark.parametrize("path, value", [
     (["listen"], "nowhere"), (["board"], None), (["seed"], "xyz"), (["known"], {"notices": [{}]}),
-    (["settings"], {}), (["settings", "grades"], [{}]), (["limits", "sockets"], 3), (["limits", "memory_mb"], "many")])
+    (["admin"], "nowhere"), (["settings"], {}), (["settings", "grades"], [{}]), (["limits", "sockets"], 3),
+    (["limits", "memory_mb"], "many")])
 def test_a_bad_configuration_is_one_line_and_exit_2(tmp_path, monkeypatch, capsys, path, value):
     conf = copy.deepcopy(CONF)
     inner = conf
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,208 @@
+"""The operators' door on loopback sockets: its calls, the figures against what peers saw, and bans."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from tests.rig import Peer, Rig
+from tests.test_codecs import execute
+from umberusher import admin, figures
+from umberusher import interface as api
+from umberusher.interface import EngineState
+from umberusher.net.loop import READ, Loop, Wait
+from umberusher.stages import route
+
+
+def open_door(rig: Rig) -> None:
+    rig.broker.door.listen(("127.0.0.1", 0))
+
+
+def knock(rig: Rig, data: bytes = b""):
+    sock = socket.create_connection(rig.broker.door.listener.getsockname())
+    sock.send(data)
+    return rig.keep(Peer(sock))
+
+
+def call(rig: Rig, method: str, path: str, more: str = "") -> tuple[int, str]:
+    caller = knock(rig, f"{method} {path} HTTP/1.1\r\nHost: x\r\n{more}\r\n".encode())
+    rig.until(lambda: caller.read() and caller.ended)
+    head, _, body = caller.got.decode().partition("\r\n\r\n")
+    assert "connection: close" in head.lower()
+    return int(head.split()[1]), body
+
+
+def stats(rig: Rig) -> dict[str, float]:
+    status, body = call(rig, "GET", "/ops/stats")
+    assert status == 200
+    return {name + "".join(labels.values()): value for family in text_string_to_metric_families(body)
+            for name, labels, value, *_ in family.samples}
+
+
+@pytest.mark.parametrize("method, path, more, status", [
+    ("GET", "/ops/readiness", "", 200), ("POST", "/ops/readiness", "", 405), ("HEAD", "/ops/stats", "", 405),
+    ("GET", "/ops/nothing", "", 404), ("GET", "/", "", 404), ("PUT", "/ops/engines/down/", "", 404),
+    ("GET", "/ops/engines/down/s-0", "", 405), ("PUT", "/ops/engines/down/never", "", 404),
+    ("PUT", "/ops/engines/up/never", "", 404), ("PUT", "/ops/engines/down/%ff", "", 400),
+    ("PUT", "/ops/engines/up/%73-0", "", 200), ("PUT", "/ops/engines/down/s-0", "Content-Length: 9999\r\n", None),
+    ("GET", "/ops/stats", "X: " + "y" * 9000 + "\r\n", 431), ("G\0T", "/ops/stats", "", 400)])
+def test_the_door_answers_its_calls_only(rig, method, path, more, status):
+    rig = rig()
+    open_door(rig)
+    if status is None:
+        caller = knock(rig, f"{method} {path} HTTP/1.1\r\nHost: x\r\n{more}\r\n".encode() + b"z" * 5000)
+        rig.expect(caller, b"HTTP/1.1 413 ")
+    else:
+        assert call(rig, method, path, more)[0] == status
+    assert not rig.broker.route.banned
+
+
+def test_a_broker_without_a_list_or_about_to_end_is_not_ready(rig):
+    rig = rig(0)
+    open_door(rig)
+    assert call(rig, "GET", "/ops/readiness")[0] == 503
+    rig.news(("s-9", "board", "SERVING"))
+    assert call(rig, "GET", "/ops/readiness")[0] == 200
+    rig.broker.stop()
+    assert call(rig, "GET", "/ops/readiness")[0] == 503
+
+
+def test_silent_and_half_callers_never_take_a_good_calls_place(rig):
+    rig = rig()
+    open_door(rig)
+    for number in range(3 * admin.CALLERS_MOST):
+        knock(rig, b"GET /ops/st" if number % 2 else b"")
+    slow = knock(rig, b"GET /ops/readiness HTTP/1.1\r\n")
+    rig.until(lambda: any(each.spoke for each in rig.broker.door.callers))
+    assert call(rig, "GET", "/ops/readiness")[0] == 200
+    slow.sock.send(b"Host: x\r\n\r\n")
+    rig.expect(slow, b"HTTP/1.1 200 ")
+    assert len(rig.broker.door.callers) <= admin.CALLERS_MOST
+    rig.later(admin.CALLER_MS + 200)
+    assert not rig.broker.door.callers
+
+
+def test_a_hurried_descriptor_goes_before_a_flood():
+    """Fails where all events stand in one queue, or a round takes in all that is ready."""
+    loop, order, pairs = Loop(), [], [socket.socketpair() for _ in range(200)]
+
+    def reader(name, sock):
+        while True:
+            yield Wait(sock.fileno(), READ)
+            order.append(name)
+
+    for name, (ours, _) in enumerate(pairs):
+        if name == 199:
+            loop.hurry(ours.fileno())
+        loop.spawn(reader(name, ours))
+    for _, peer in pairs:
+        peer.send(b"x")
+    loop.step(0)
+    assert order[0] == 199 and len(order) <= 65
+    loop.step(0)
+    assert order.count(199) == 2
+    loop.close()
+    for pair in pairs:
+        for sock in pair:
+            sock.close()
+
+
+def test_the_figures_are_what_peers_saw(rig):
+    rig = rig()
+    open_door(rig)
+    assert set(stats(rig).values()) == {0.0, 1.0}
+    assert stats(rig)["svc_engines_known"] == 1 and stats(rig)["svc_served_totallookup"] == 0
+    client = rig.client()
+    rid = rig.ask(client)
+    assert stats(rig)["svc_in_flight"] == 1
+    engine = rig.accept("s-0")
+    rig.expect(engine, b"park_1.sites\r\n")
+    assert stats(rig)["svc_attempts_total"] == 1
+    engine.sock.send(f"{rid} HIT count=1 6\r\na\t1\t2\n\r\n".encode())
+    rig.answer(client)
+    rig.broker.admit.tight = True  # refused before the decisions hear of it
+    client.sock.send(execute(7, {"method": "load", "rid": f"{7:016x}", "budget": "900", "obj": "k"}, b"select 1"))
+    rig.answer(client)
+    client.sock.send(execute(8, {"method": "load", "rid": "none", "budget": "900", "obj": "k"}, b"select 1"))
+    rig.answer(client)
+    found = stats(rig)
+    assert (found["svc_served_totallookup"], found["svc_refused_totalload"], found["svc_failed_totalload"]) == (1, 1, 1)
+    assert found["svc_in_flight"] == 0 and found["svc_attempts_total"] == 1
+
+
+def test_in_flight_ends_with_the_answer_though_the_ticket_is_kept(rig):
+    rig = rig()
+    client, rid, _ = rig.begun()
+    call_off = struct.pack(">Ii9siBhiB", 0x80010004, 9, b"interrupt", 2, 8, 1, 1, 0)
+    client.sock.send(struct.pack(">i", len(call_off)) + call_off)
+    rig.until(lambda: not rig.broker.book.in_flight)
+
+
+def test_labels_are_escaped_and_every_class_starts_at_0():
+    name = 'a"b\\c\nd'
+    made = figures.text({}, [name], 0, {})
+    families = list(text_string_to_metric_families(made))
+    assert [f.samples[0].labels["class"] for f in families if f.samples[0].labels] == [name] * 3
+    assert all(f.type == "counter" and f.documentation and f.samples[0].value == 0 for f in families)
+
+
+def test_a_banned_engine_drains_whatever_the_board_tells(rig):
+    rig = rig(2)
+    open_door(rig)
+    assert call(rig, "PUT", "/ops/engines/down/s-0")[0] == call(rig, "PUT", "/ops/engines/down/s-0")[0] == 200
+    engine = rig.broker.gateway.engines["s-0"]
+    for entries, reset in (([("s-0", "s-0", "SERVING")], False), ([("s-0", "s-0", "DELETED")], False),
+                           ([("s-0", "s-0", "SERVING"), ("s-1", "s-1", "SERVING")], True)):
+        rig.broker.route.take(rig.notice(*entries, reset=reset))
+        engine = rig.broker.gateway.engines.get("s-0", engine)
+        assert not engine.up and rig.broker.route.find("s-0") is None
+    found = stats(rig)
+    assert found["svc_engines_excluded"] == 1 and found["svc_engines_known"] == 2
+    rig.broker.route.take(rig.notice(("s-0", "s-0", "DRAINING")))
+    assert call(rig, "PUT", "/ops/engines/up/s-0")[0] == 200
+    assert rig.broker.route.find("s-0") is None  # the board's newest word applies
+    rig.broker.route.take(rig.notice(("s-0", "s-0", "SERVING")))
+    assert rig.broker.route.find("s-0") and engine.up
+
+
+def test_what_comes_up_is_taken_back_by_a_ban_and_goes_elsewhere(rig):
+    rig = rig(2)
+    rid = rig.ask(rig.client())
+    attempt = rig.broker.book.tickets[rid].attempt
+    other = "s-1" if attempt.engine == "s-0" else "s-0"
+    if attempt.reach < 2:
+        rig.broker.route.ban(attempt.engine)
+        assert attempt.ended
+        rig.expect(rig.accept(other), f"REQ {rid} ".encode())
+
+
+def test_an_engine_called_back_starts_afresh_is_probed_and_gets_a_new_connection(rig):
+    rig = rig()
+    _, _, first = rig.begun()
+    engine = rig.broker.gateway.engines["s-0"]
+    engine.fails, engine.mute, engine.odds, engine.shut_until = 5, True, 0.01, rig.now * 1000 + 8000
+    rig.broker.route.ban("s-0")
+    rig.now += 3
+    rig.broker.route.unban("s-0")
+    assert (engine.fails, engine.mute, engine.odds, engine.born) == (0, False, 1.0, rig.now * 1000)
+    assert engine.shut_until < 0 and engine.probed_at < 0 and engine.up
+    rig.broker.route.take(rig.notice(("s-0", "s-0", "SERVING")))  # with no start told it stays cold
+    assert engine.born == rig.now * 1000
+    second = rig.ask(rig.client())
+    rig.expect(rig.accept("s-0"), f"REQ {second} ".encode())
+    assert second.encode() not in first.read()
+
+
+def test_ids_and_bans_are_bounded_and_none_that_is_listed_is_forgotten():
+    taken = []
+    found = route.Route(taken.append, lambda: 5.0)
+    found.members["s-0"] = route.Member("s-0", ("h", 1), EngineState.UP, api.EngineEntry("s-0", EngineState.UP))
+    for number in range(route.SEEN_MOST + 50):
+        found.remember(f"s-{number}")
+        found.ban(f"s-{number}")
+    assert len(found.seen) <= route.SEEN_MOST and len(found.banned) <= route.BANS_MOST
+    assert "s-0" in found.banned and found.ban("s-0") and not found.ban("s-1") and found.unban("s-0")
+    assert taken[0].entries[0].state is EngineState.DRAINING and taken[-1].entries[0].state is EngineState.UP
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -9,7 +9,9 @@
 from collections import deque
 from collections.abc import Callable
 
+from umberusher import figures
 from umberusher import interface as api
+from umberusher.admin import Desk, Door
 from umberusher.config import Config, ConfigError
 from umberusher.decide import Gateway
 from umberusher.net.loop import Loop
@@ -22,7 +24,7 @@
 from umberusher.stages.take_in import Form, TakeIn
 
 log = logging.getLogger(__name__)
-RESERVED = 24  # descriptors for the listener, the loop, the notice board and the standard streams
+RESERVED = 48  # descriptors for listeners, the loop, the notice board, the door's callers and the standard streams
 ENGINE_PART = 0.3  # of the others, those kept for engines
 SWEEP_MS = 100.0
 TIGHT_PART, FULL_PART = 0.75, 0.92  # of the memory limit, above which little more is taken, and nothing
@@ -52,7 +54,7 @@
         descriptors = config.sockets - RESERVED
         for_engines = int(descriptors * ENGINE_PART)
         self.book = Book(self.post, self.now_ms)
-        self.route = Route(self.post)
+        self.route = Route(self.post, self.now_ms)
         self.relay = Relay(self.book, self.post)
         self.send = Send(self.loop, self.route, self.book, self.relay, self.now_ms, self.post,
                          multiplex=config.multiplex, connect_timeout_ms=config.connect_timeout_ms,
@@ -62,6 +64,7 @@
         self.front = TakeIn(self.loop, self.admit, self.now_ms, self.good, descriptors - for_engines,
                             Form(config.settings), config.memory_mb)
         self.board = NoticeBoard(self.loop, config.board, lambda: self.route.rev, self.route.take)
+        self.door = Door(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.ban, self.route.unban))
         self.carry: dict[type, Callable[..., None]] = {
             api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self.book.refuse,
             api.Fail: self.book.fail, api.Probe: lambda a: self.send.probe(a.engine),
@@ -76,6 +79,20 @@
         """Whether clients should come: the list is in, and the broker is not about to end."""
         return bool(self.route.members) and self.stopping_at is None
 
+    def ready(self) -> bool:
+        """Whether this process can serve."""
+        return self.good()
+
+    def stats(self) -> str:
+        """The figures, as they stand now."""
+        members = self.route.members
+        excluded = (self.gateway.avoided(self.now_ms()) | self.route.banned.keys()) & members.keys()
+        return figures.text(
+            self.book.finals, (cls.name for cls in self.config.settings.classes), self.book.written, {
+                "in_flight": ("Requests taken and not yet ended.", self.book.in_flight),
+                "engines_known": ("Engines in the list.", len(members)),
+                "engines_excluded": ("Listed engines that are avoided, by hand or by judgement.", len(excluded))})
+
     # -- The module
 
     def post(self, event: api.Event) -> None:
@@ -128,6 +145,8 @@
         for notice in self.config.known:
             self.route.take(notice)
         self.front.listen(self.config.listen)
+        if self.config.admin:
+            self.door.listen(self.config.admin)
         self.board.start()
         self._sweep()
 
@@ -157,6 +176,7 @@
         if self.reloading:
             self._reload()
         self.front.sweep()
+        self.door.sweep()
         self.send.sweep()
         self.admit.tight = self._tight(resident_mb() / self.config.memory_mb, len(self.book.tickets))
         if self.stopping_at is not None:
@@ -192,6 +212,7 @@
     def close(self) -> None:
         """Give all descriptors back."""
         self.front.close()
+        self.door.close()
         self.board.close()
         self.send.close()
         self.loop.close()
--- a/umberusher/config.py
+++ b/umberusher/config.py
@@ -33,6 +33,7 @@
     connect_timeout_ms: float = 250.0
     keepalive_ms: float = 15_000.0
     max_open: int = 10_000
+    admin: tuple[str, int] | None = None  # the operators' door
     raw: dict[str, Any] = field(default_factory=dict, repr=False)
 
 
@@ -52,7 +53,9 @@
         known = notices(raw.get("known") or {"notices": []}, 0)
         if isinstance(known, BoardFault):
             raise ConfigError(f"known: {known.why}")
+        admin = env.get("LB_ADMIN") or raw.get("admin")
         return Config(
+            admin=address(admin) if admin else None,
             name=str(env.get("LB_NAME") or raw["name"]), listen=address(env.get("LB_LISTEN") or raw["listen"]),
             seed=int(str(raw["seed"]), 16), board=address(raw["board"]), known=known,
             settings=wire.settings(json.dumps(settings)),
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -179,6 +179,10 @@
             self.wake_at = max(wake, self.now + 1.0)
             self.actions.append(api.SetTimer("tick", self.wake_at - self.now))
 
+    def avoided(self, now_ms: float) -> set[str]:
+        """The listed engines that are left out for now by judgement; it changes nothing."""
+        return {e.id for e in self.up if e.shut_until > now_ms and not self.distrust}
+
     # -- Start, list of engines, timers
 
     def _boot(self, _: api.Boot) -> None:
@@ -207,8 +211,10 @@
                 engine = self.engines[entry.engine] = _Engine(entry, start)
             elif entry.started_ms and entry.started_ms != engine.born:
                 engine.born, engine.odds = entry.started_ms, start
-                engine.fails = engine.errors = 0
-                engine.shut_until, engine.others, engine.slow = -math.inf, 0.0, 0.0
+                engine.fails = engine.errors = engine.uncredited = 0
+                engine.mute = engine.reported = False
+                engine.shut_until = engine.probed_at = -math.inf  # asked next, so that it is soon known
+                engine.others = engine.slow = engine.cold_credit = 0.0
             engine.zone, engine.kind, engine.cell = entry.zone, entry.kind, entry.cell
             engine.cores = self.cores.get(entry.kind or "", 1.0)
             engine.up = entry.state is EngineState.UP
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+ROUND = 64  # events of one round at the most
 log = logging.getLogger(__name__)
 
 
@@ -48,7 +49,9 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self.clock = clock
-        self.epoll = select.epoll()
+        self.epoll, self.first = select.epoll(), select.epoll()
+        self.epoll.register(self.first.fileno(), READ)  # so that its events end the wait too
+        self._hurried: set[int] = set()
         self._parked: dict[int, Coroutine] = {}
         self._masks: dict[int, int] = {}
         self._timers: list[tuple[float, int, Timer]] = []
@@ -89,16 +92,22 @@
     def watch(self, fd: int, events: int) -> None:
         """Change what a parked coroutine waits for."""
         known = self._masks.get(fd)
+        epoll = self.first if fd in self._hurried else self.epoll
         if known is None:
-            self.epoll.register(fd, events)
+            epoll.register(fd, events)
         elif known != events:
-            self.epoll.modify(fd, events)
+            epoll.modify(fd, events)
         self._masks[fd] = events
 
+    def hurry(self, fd: int) -> None:
+        """Have a descriptor's events taken first in each round; said before it is watched."""
+        self._hurried.add(fd)
+
     def forget(self, fd: int) -> None:
         """Drop a descriptor that is about to be closed, with the coroutine parked on it."""
         if self._masks.pop(fd, None) is not None:
-            self.epoll.unregister(fd)
+            (self.first if fd in self._hurried else self.epoll).unregister(fd)
+        self._hurried.discard(fd)
         self._parked.pop(fd, None)
 
     def step(self, longest_ms: float = 1000.0) -> None:
@@ -109,7 +118,11 @@
         timeout = longest_ms / 1000.0
         if self._timers:
             timeout = min(timeout, max(self._timers[0][0] - self.clock(), 0.0))
-        for fd, events in self.epoll.poll(timeout):
+        # Guards what is hurried against floods: a round is bounded, and these events never wait for more than one.
+        ready = self.epoll.poll(timeout, ROUND)
+        if self._hurried:
+            ready = self.first.poll(0) + ready
+        for fd, events in ready:
             coroutine = self._parked.pop(fd, None)
             if coroutine is not None:  # an earlier one of this round may have closed it
                 self._resume(coroutine, events, fd)
@@ -135,5 +148,6 @@
             self.step()
 
     def close(self) -> None:
-        """Give the epoll descriptor back."""
+        """Give the epoll descriptors back."""
         self.epoll.close()
+        self.first.close()
--- a/umberusher/stages/admit.py
+++ b/umberusher/stages/admit.py
@@ -26,11 +26,11 @@
         if ticket.rid in self.book.tickets:
             # Guards against an id that is open already: the decisions would take both for one request.
             log.warning("request %s is open already", ticket.rid)
-            ticket.open = False
+            self.book.close(ticket, "failed")
             ticket.caller.failed("this id is open already")
         elif self.tight or len(self.book.tickets) >= self.most:
             log.warning("request refused: the broker is at its limits")
-            ticket.open = False
+            self.book.close(ticket, "refused")
             ticket.caller.refused(self.backoff_ms)
         else:
             self.book.tickets[ticket.rid] = ticket
@@ -38,9 +38,8 @@
 
     def leave(self, ticket: Ticket) -> None:
         """The client waits no more: nothing is owed, and what is out is given up."""
-        if not ticket.open:
+        if not self.book.close(ticket):
             return
-        ticket.open = False
         self.post(api.ClientLeft(ticket.rid))
         if ticket.attempt:
             self.send.give_up(ticket.attempt, api.Ending.CANCELLED)
--- a/umberusher/stages/book.py
+++ b/umberusher/stages/book.py
@@ -24,10 +24,31 @@
     """The open tickets and what became of all."""
 
     def __init__(self, post: Callable[[api.Event], None], now_ms: Callable[[], float]) -> None:
+        self.finals: Counter[tuple[str, str]] = Counter()  # final answers, by word and class
+        self.written = 0  # attempts that are whole with an engine
         self.post, self.now_ms = post, now_ms
         self.tickets: dict[str, Ticket] = {}
         self.counts: Counter[str] = Counter()
 
+    @property
+    def in_flight(self) -> int:
+        """Requests taken and not answered; tickets are kept until the decisions have heard of their end."""
+        return sum(ticket.open for ticket in self.tickets.values())
+
+    def close(self, ticket: Ticket, word: str = "") -> bool:
+        """The one place where a ticket closes: by its final answer, which is counted, or since nobody waits for one."""
+        if not ticket.open:
+            return False
+        ticket.open = False
+        if word:
+            self.count(word, ticket.arrival.query_class)
+        return True
+
+    def count(self, word: str, query_class: str) -> None:
+        """Count a final answer; the class is one of the settings'."""
+        self.counts[word] += 1
+        self.finals[word, query_class] += 1
+
     # -- Endings of attempts
 
     def ended(self, attempt: Attempt, ending: Ending, report: api.LoadReport | None = None) -> None:
@@ -57,9 +78,7 @@
     def served(self, attempt: Attempt, rows: bytes, report: api.LoadReport | None) -> None:
         """The whole result is here: the client's answer, then the ending."""
         ticket = attempt.ticket
-        if ticket.open and not attempt.ended:
-            ticket.open = False
-            self.counts["served"] += 1
+        if not attempt.ended and self.close(ticket, "served"):
             ticket.caller.served(rows)
         self.ended(attempt, Ending.SERVED, report)
 
@@ -68,17 +87,13 @@
     def refuse(self, action: api.Refuse) -> None:
         """Refused, with the time to stay away."""
         ticket = self.tickets.pop(action.request, None)
-        if ticket and ticket.open:
-            ticket.open = False
-            self.counts["refused"] += 1
+        if ticket and self.close(ticket, "refused"):
             ticket.caller.refused(action.retry_after_ms)
 
     def fail(self, action: api.Fail) -> None:
         """Failed."""
         ticket = self.tickets.pop(action.request, None)
-        if ticket and ticket.open:
-            ticket.open = False
-            self.counts["failed"] += 1
+        if ticket and self.close(ticket, "failed"):
             ticket.caller.failed("failed")
 
     def forget(self, event: api.Event) -> None:
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -35,6 +35,7 @@
 
     attempt: Attempt
     now_ms: Callable[[], float]
+    book: Book
 
     def encode(self) -> bytes:
         """REQ, with the time that is left now."""
@@ -46,6 +47,7 @@
     def written(self) -> None:
         """The engine may have it whole from now on."""
         self.attempt.reach = max(self.attempt.reach, Reach.WHOLE)
+        self.book.written += 1
 
 
 @dataclass(slots=True, eq=False)
@@ -69,6 +71,7 @@
         self.retired: set[str] = set()  # ids given up here: late lines of theirs may still come
         self.used_ms = self.heard_ms = send.now_ms()
         self.half_ms: float | None = None  # since when there is a part of an answer
+        self.old = False  # of a process or an address that is no more: it ends what it carries and takes nothing new
         self.suspect = False  # a probe brought nothing, and nothing else has come since
         conn.on_open, conn.on_data, conn.on_closed = self._opened, self._data, self._closed
         self.timer = send.loop.call_later(send.connect_timeout_ms, self._too_slow)
@@ -136,7 +139,7 @@
 
     def usable(self, rid: str, now_ms: float) -> bool:
         """Whether this attempt may go over it."""
-        return (len(self.attempts) < self.owner.multiplex and rid not in self.attempts
+        return (not self.old and len(self.attempts) < self.owner.multiplex and rid not in self.attempts
                 and rid not in self.retired and len(self.retired) < RETIRED_MOST and not self.suspect
                 and not self.expiring(now_ms))
 
@@ -151,7 +154,7 @@
         attempt.reach = Reach.NOT_WRITTEN if self.conn.state is State.OPEN else Reach.NOT_CONNECTED
         self.used_ms = self.owner.now_ms()
         self.attempts[attempt.ticket.rid] = attempt
-        message = self.messages[attempt.ticket.rid] = Outgoing(attempt, self.owner.now_ms)
+        message = self.messages[attempt.ticket.rid] = Outgoing(attempt, self.owner.now_ms, self.owner.book)
         self.conn.send(message)
 
     def release(self, attempt: Attempt) -> bool:
@@ -235,9 +238,10 @@
             self._close_if_idle(link)
 
     def _retire_engine(self, member: Member) -> None:
-        """The engine has moved: its old connections finish what they carry and are not used again."""
+        """The engine has moved or started anew: its old connections finish what they carry and are not used again."""
         self._stop_engine(member)
-        self.links.pop(member.engine, None)
+        for link in self.links.get(member.engine, ()):
+            link.old = True
 
     # -- Connections
 
@@ -302,7 +306,7 @@
                 link.conn.close(why)
                 continue
             link.give_up_pages(now)
-            if link.suspect or len(link.retired) >= RETIRED_MOST:
+            if link.suspect or link.old or len(link.retired) >= RETIRED_MOST:
                 self._close_if_idle(link)
 
     # -- Probes
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -206,16 +206,23 @@
         if len(self.open) >= OPEN_MOST:
             # Guards against floods: one client's hundreds would be held by the decisions before everyone else's.
             log.warning("call refused: %d are open on its connection", OPEN_MOST)
+            self._count("refused", call)
             self._write(trylater(call.seqid, self.front.admit.backoff_ms))
             return
         taken = ticket(call, ThriftCaller(self, call.seqid), self.front.now_ms(), self.front.form)
         if isinstance(taken, str):
+            self._count("failed", call)
             self._complain(call.seqid, "execute", thrift.PROTOCOL_ERROR, taken)
             return
         self.open[call.seqid] = taken
         self._pace()
         self.front.admit.take(taken)
 
+    def _count(self, word: str, call: thrift.Execute) -> None:
+        """Count a call that is answered before it becomes a ticket, where it names a class."""
+        if call.fields.get("method") in self.front.form.classes:
+            self.front.admit.book.count(word, call.fields["method"])
+
     def _pace(self) -> None:
         """Read no more while the client takes no answers; go on once that is over."""
         paused = len(self.conn.outbox) >= UNWRITTEN_MOST
