--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -8,14 +8,17 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from typing import Any
 
 from umberusher import figures
 from umberusher import interface as api
 from umberusher.admin import Desk, Door
 from umberusher.config import Config, ConfigError
 from umberusher.decide import Gateway
+from umberusher.handover import Handover, Side, Taken, Use, take_over
 from umberusher.net.loop import Loop
 from umberusher.noticeboard import NoticeBoard
+from umberusher.protocol.board import document
 from umberusher.stages.admit import Admit
 from umberusher.stages.book import Book
 from umberusher.stages.relay import Relay
@@ -29,20 +32,24 @@
 SWEEP_MS = 100.0
 TIGHT_PART, FULL_PART = 0.75, 0.92  # of the memory limit, above which little more is taken, and nothing
 LINGER_S = 1.0  # after SIGTERM new requests go on coming for 0.6 s
+LEAVE_S = 5.0  # after SIGTERM a process with a successor has the longest deadline, at most this, and 0.7 s
+LEAVE_OPEN_S, LEAVE_LAST_S = 0.25, 0.45  # beyond that time: when what is open is ended, and when the process ends
+FRESH_S = 3.0  # a successor waits no longer than this for the notice board's first word
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
 def resident_mb() -> float:
-    """Memory that this process holds."""
+    """Memory that this process alone holds: pages of files are shared, and the system can take them back."""
     with open("/proc/self/statm", encoding="ascii") as source:
-        return int(source.read().split()[1]) * PAGE / 1e6
+        _, resident, shared, *_ = map(int, source.read().split())
+    return (resident - shared) * PAGE / 1e6
 
 
 class Broker:
     """One broker, wired together."""
 
     def __init__(self, config: Config, loop: Loop | None = None, clock: Callable[[], float] = time.time,
-                 reread: Callable[[], Config] | None = None) -> None:
+                 reread: Callable[[], Config] | None = None, path: str | None = None) -> None:
         self.config, self.loop, self.clock = config, loop or Loop(), clock
         self.reread, self.reloading = reread, False
         self.gateway = Gateway(config.settings, config.seed)
@@ -53,6 +60,9 @@
         limits = config.settings.limits
         descriptors = config.sockets - RESERVED
         for_engines = int(descriptors * ENGINE_PART)
+        self.serving = False  # accepts, or has accepted until a successor did
+        self.leaving = False  # about to end, and a successor accepts
+        self.started_at = self.clock()
         self.book = Book(self.post, self.now_ms)
         self.route = Route(self.post, self.now_ms)
         self.relay = Relay(self.book, self.post)
@@ -65,6 +75,9 @@
                             Form(config.settings), config.memory_mb)
         self.board = NoticeBoard(self.loop, config.board, lambda: self.route.rev, self.route.take)
         self.door = Door(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.ban, self.route.unban))
+        self.handover = Handover(self.loop, path, Side(
+            self._hello, lambda: self.front.listener, self._use, self._ban, self._hold))
+        self.route.on_ban = self.handover.tell_ban
         self.carry: dict[type, Callable[..., None]] = {
             api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self.book.refuse,
             api.Fail: self.book.fail, api.Probe: lambda a: self.send.probe(a.engine),
@@ -81,7 +94,7 @@
 
     def ready(self) -> bool:
         """Whether this process can serve."""
-        return self.good()
+        return self.good() and self.serving
 
     def stats(self) -> str:
         """The figures, as they stand now."""
@@ -144,12 +157,74 @@
         self.post(api.Boot())
         for notice in self.config.known:
             self.route.take(notice)
-        self.front.listen(self.config.listen)
         if self.config.admin:
             self.door.listen(self.config.admin)
+        taken = take_over(self.handover.path) if self.handover.path else None
+        if isinstance(taken, Taken):
+            self._follow(taken)
+        else:
+            if taken:
+                log.warning("handover: started without the process before: %s", taken)
+            self.front.listen(self.config.listen)
+            self.serving = True
+            self.handover.listen()
         self.board.start()
         self._sweep()
 
+    def _follow(self, taken: Taken) -> None:
+        """Take what the process before has given; it goes on accepting until this one can."""
+        log.info("handover: takes over from the process before")
+        for notice in taken.known:
+            self.route.take(notice)
+        for engine in [*taken.seen, *taken.banned]:
+            self.route.remember(engine)
+        for engine, since in taken.banned.items():
+            self.route.ban(engine, since)
+        self.front.adopt(taken.listener)
+        self.handover.join(taken)
+
+    def _come_in(self) -> None:
+        """Accept once the list is as new as the board's: what was handed over may be older than the board's last word.
+
+        A board that says nothing holds a successor up for a bounded time only.
+        """
+        if self.route.members and (self.board.heard or self.clock() - self.started_at > FRESH_S):
+            self.serving = True
+            self.front.hold(False)
+            self.handover.say_ready()
+            log.info("handover: accepts from now on")
+
+    # -- For the peers of an upgrade
+
+    def _hello(self) -> dict[str, Any]:
+        members = self.route.members.values()
+        return {"known": document(self.route.rev, ((member.told, member.address) for member in members)),
+                "seen": list(self.route.seen), "banned": self.route.banned}
+
+    def _use(self) -> Use:
+        return Use(round(resident_mb(), 1), len(self.front.clients), self.send.count)
+
+    def _ban(self, engine: str, since: float | None) -> None:
+        if since is None:
+            self.route.unban(engine)
+        else:
+            self.route.remember(engine)
+            self.route.ban(engine, since)
+
+    def _hold(self, held: bool) -> None:
+        if held or self.stopping_at is None:
+            self.front.hold(held)
+            if not held:
+                self.handover.listen()
+
+    def _share(self) -> None:
+        """Keep the joint limits: what the other processes hold is not there for this one."""
+        self.handover.tell_use()
+        others = self.handover.others()
+        self.front.elsewhere, self.send.elsewhere = others.clients, others.engines
+        part = (resident_mb() + others.memory_mb) / self.config.memory_mb
+        self.admit.tight = self._tight(part, len(self.book.tickets))
+
     def stop(self) -> None:
         """Begin to end; safe to call from a signal handler."""
         if self.stopping_at is None:
@@ -178,16 +253,32 @@
         self.front.sweep()
         self.door.sweep()
         self.send.sweep()
-        self.admit.tight = self._tight(resident_mb() / self.config.memory_mb, len(self.book.tickets))
-        if self.stopping_at is not None:
-            passed = self.clock() - self.stopping_at
-            longest = max(item.deadline_ms for item in self.config.settings.classes) / 1000
-            # A client that takes no answers must not keep a broker from its end: after the longest deadline it goes.
-            if passed > LINGER_S + longest or (passed > LINGER_S and self.front.idle):
-                self.loop.running = False
-                return
+        self._share()
+        if not self.serving:
+            self._come_in()
+        if self.stopping_at is not None and self._ended(self.clock() - self.stopping_at):
+            self.loop.running = False
+            return
         self.loop.call_later(SWEEP_MS, self._sweep)
 
+    def _ended(self, passed: float) -> bool:
+        """Whether this process ends now, so long after SIGTERM."""
+        longest = max(item.deadline_ms for item in self.config.settings.classes) / 1000
+        self.leaving = self.leaving or self.handover.handed_over
+        if self.leaving:
+            return self._leave(passed - min(longest, LEAVE_S))
+        # A client that takes no answers must not keep a broker from its end: after the longest deadline it goes.
+        return passed > LINGER_S + longest or (passed > LINGER_S and self.front.idle)
+
+    def _leave(self, beyond: float) -> bool:
+        """Answer what is open while a successor accepts, and end before SIGKILL does it; whether all is done."""
+        if beyond > LEAVE_OPEN_S:
+            self.admit.tight = True
+            for rid in self.book.end_all(self.admit.backoff_ms):
+                self.post(api.ClientLeft(rid))
+        self.front.ebb()
+        return not self.front.clients or beyond > LEAVE_LAST_S
+
     def _tight(self, part: float, count: int) -> bool:
         """Whether memory is near its limit: nothing more is taken until it falls, or what is open has halved.
 
@@ -213,6 +304,7 @@
         """Give all descriptors back."""
         self.front.close()
         self.door.close()
+        self.handover.close()
         self.board.close()
         self.send.close()
         self.loop.close()
--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -9,10 +9,10 @@
 import sys
 import time
 from collections.abc import Callable
-from importlib import metadata
 
 from umberusher.broker import Broker
 from umberusher.config import Config, ConfigError, load
+from umberusher.handover import socket_path
 
 LINES, KINDS = 20, 256  # log lines of one kind a second; kinds that are counted
 
@@ -53,7 +53,7 @@
                         format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     for handler in logging.getLogger().handlers:
         handler.addFilter(Sparing())
-    broker = Broker(config, reread=_config)
+    broker = Broker(config, reread=_config, path=socket_path(os.environ, config.listen))
     signal.signal(signal.SIGHUP, lambda *_: broker.reload())
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: broker.stop())
@@ -68,6 +68,7 @@
 
 def version(_: argparse.Namespace) -> int:
     """Print the version."""
+    from importlib import metadata  # costs 4 MB, which a broker would hold for good
     try:
         print(f"umberusher {metadata.version('umberusher')}")
     except metadata.PackageNotFoundError:  # run from a checkout
--- /dev/null
+++ b/umberusher/handover.py
@@ -0,0 +1,301 @@
+"""Handover: an old process and its successor act as one broker, linked by a Unix socket in ``$TMPDIR``.
+
+The old one sends one byte that carries the clients' listener, then ``hello``; after that each side sends a JSON line
+a message: ``ready`` (the successor accepts from now on), ``ban`` and ``use``. Nothing that goes wrong here may cost
+service: every fault is one log line.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import socket
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from umberusher.net.connection import Connection, Raw, State
+from umberusher.net.loop import READ, Coroutine, Loop, Wait
+from umberusher.protocol.board import BoardFault, Notice, notices
+
+log = logging.getLogger(__name__)
+HELLO_MOST = 1 << 20  # bytes of a message
+HELLO_S = 1.5  # for the whole greeting; the start waits for it
+PEERS_MOST = 4
+
+
+@dataclass(slots=True)
+class Use:
+    """What a process holds of the joint limits."""
+
+    memory_mb: float = 0.0
+    clients: int = 0
+    engines: int = 0
+
+    def plus(self, other: Use) -> Use:
+        """Both together."""
+        return Use(self.memory_mb + other.memory_mb, self.clients + other.clients, self.engines + other.engines)
+
+
+@dataclass(slots=True)
+class Taken:
+    """What a successor was given."""
+
+    listener: socket.socket
+    link: socket.socket
+    rest: bytes  # what came behind the greeting
+    known: list[Notice]
+    seen: list[str]
+    banned: dict[str, float]
+
+
+@dataclass(slots=True)
+class Side:
+    """What the broker does for its peers."""
+
+    hello: Callable[[], dict[str, Any]]
+    listener: Callable[[], socket.socket | None]
+    use: Callable[[], Use]
+    ban: Callable[[str, float | None], None]
+    hold: Callable[[bool], None]  # whether a successor accepts in this process's place
+
+
+def socket_path(env: Mapping[str, str], address: tuple[str, int]) -> str | None:
+    """Where the processes of one broker meet; brokers at other addresses meet elsewhere."""
+    place = env.get("TMPDIR")
+    return os.path.join(place, f"umberusher-{address[0]}-{address[1]}.sock") if place else None
+
+
+def take_over(path: str, clock: Callable[[], float] = time.monotonic) -> Taken | str | None:
+    """Greet the process that serves now: what it gives, None where there is none, a text where it is of no use.
+
+    It waits, and for a bounded time: the loop does not run yet, and a start must not hang on a peer that does.
+    """
+    link = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    fds: list[int] = []
+    try:
+        until = clock() + HELLO_S
+        link.settimeout(HELLO_S)
+        link.connect(path)
+        _, fds, _, _ = socket.recv_fds(link, 1, 1)
+        if not fds:
+            raise ValueError("no listener came")
+        got = b""
+        while b"\n" not in got:
+            link.settimeout(max(until - clock(), 0.001))
+            part = link.recv(1 << 16)
+            if not part or len(got) > HELLO_MOST or clock() > until:
+                raise ValueError("no greeting came")
+            got += part
+        line, _, rest = got.partition(b"\n")
+        hello = json.loads(line)["hello"]
+        known = notices(hello["known"], 0)
+        if isinstance(known, BoardFault):
+            raise ValueError(known.why)
+        taken = Taken(socket.socket(fileno=fds[0]), link, rest, known, [str(name) for name in hello["seen"]],
+                      {str(name): float(since) for name, since in hello["banned"].items()})
+        fds = []
+        return taken
+    except (FileNotFoundError, ConnectionRefusedError):  # nobody there; a file may lie there still
+        link.close()
+        return None
+    except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
+        link.close()
+        for fd in fds:
+            os.close(fd)
+        return f"{type(error).__name__} {error}"
+
+
+@dataclass(slots=True, eq=False)
+class Peer:
+    """The link to another process of this broker."""
+
+    owner: Handover
+    conn: Connection
+    successor: bool
+    ready: bool = False
+    use: Use = field(default_factory=Use)
+    told: Use | None = None
+
+    def __post_init__(self) -> None:
+        self.conn.on_data, self.conn.on_closed = self.data, self._closed
+
+    def tell(self, **message: Any) -> None:
+        """Send one message."""
+        self.conn.send(Raw(json.dumps(message).encode() + b"\n"))
+
+    def data(self) -> None:
+        """Take all whole messages."""
+        while self.conn.state is State.OPEN:
+            end = self.conn.inbound.find(b"\n", HELLO_MOST)
+            if end < 0:
+                if self.conn.inbound.room <= 0:
+                    self.conn.close("a message without an end")
+                return
+            try:
+                self._take(json.loads(self.conn.inbound.take(end + 1)))
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
+                # Guards against a peer of another version, or one that has lost its mind: it is left, service goes on.
+                self.conn.close(f"nonsense: {type(error).__name__} {error}")
+
+    def _take(self, message: dict[str, Any]) -> None:
+        if "use" in message:
+            memory, clients, engines = message["use"]
+            self.use = Use(float(memory), int(clients), int(engines))
+        if "ban" in message:
+            engine, since = message["ban"]
+            self.owner.source = self
+            try:
+                self.owner.side.ban(str(engine), None if since is None else float(since))
+            finally:
+                self.owner.source = None
+        if message.get("ready") is True and self.successor and not self.ready:
+            self.ready = True
+            log.info("handover: the successor accepts from now on")
+            self.owner.replaced()
+
+    def _closed(self, why: str) -> None:
+        log.info("handover: link closed: %s", why)
+        self.owner.left(self)
+
+
+class Handover:
+    """All links of this process, and the socket that a successor finds."""
+
+    def __init__(self, loop: Loop, path: str | None, side: Side) -> None:
+        self.loop, self.path, self.side = loop, path, side
+        self.peers: list[Peer] = []
+        self.listener: socket.socket | None = None
+        self.source: Peer | None = None  # whose word is being carried out: it need not be told
+
+    # -- A successor may come
+
+    def listen(self) -> None:
+        """Lay this process's own socket over the path, in one step: there is always one to be found."""
+        if self.path is None or self.listener is not None:
+            return
+        sock, made = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM), f"{self.path}.{os.getpid()}"
+        mask = os.umask(0o177)  # only this user's processes may take the listener
+        try:
+            sock.bind(made)
+            sock.listen(PEERS_MOST)
+            os.rename(made, self.path)
+        except OSError as error:  # also a path that is too long for a socket
+            sock.close()
+            log.warning("handover: no upgrade without a break, %s: %s", self.path, error)
+            return
+        finally:
+            os.umask(mask)
+        sock.setblocking(False)
+        self.listener = sock
+        self.loop.hurry(sock.fileno())
+        self.loop.spawn(self._accept(sock))
+
+    def _accept(self, sock: socket.socket) -> Coroutine:
+        while True:
+            yield Wait(sock.fileno(), READ)
+            try:
+                link, _ = sock.accept()
+            except OSError:
+                continue
+            self._greet(link)
+
+    def _greet(self, link: socket.socket) -> None:
+        listener = self.side.listener()
+        if listener is None or len(self.peers) >= PEERS_MOST:
+            link.close()
+            return
+        try:
+            socket.send_fds(link, [b"L"], [listener.fileno()])
+        except OSError as error:
+            log.warning("handover: %s", error)
+            link.close()
+            return
+        log.info("handover: a successor has come")
+        self._join(link, successor=True).tell(hello=self.side.hello())
+
+    def _join(self, link: socket.socket, successor: bool, rest: bytes = b"") -> Peer:
+        link.setblocking(False)
+        conn = Connection(self.loop, link, State.OPEN, HELLO_MOST, HELLO_MOST)
+        conn.inbound.write(rest)
+        self.loop.hurry(conn.fd)
+        peer = Peer(self, conn, successor)
+        self.peers.append(peer)
+        self.loop.spawn(conn.serve())
+        peer.data()
+        return peer
+
+    def _stop_listening(self) -> None:
+        if self.listener:
+            self.loop.forget(self.listener.fileno())
+            self.listener.close()
+            self.listener = None
+
+    # -- This process is the successor
+
+    def join(self, taken: Taken) -> None:
+        """Keep the link to the process that serves until now."""
+        self._join(taken.link, successor=False, rest=taken.rest)
+
+    def say_ready(self) -> None:
+        """This process accepts from now on."""
+        self.listen()
+        for peer in self.peers:
+            if not peer.successor:
+                peer.tell(ready=True)
+
+    # -- Both
+
+    @property
+    def handed_over(self) -> bool:
+        """Whether a successor accepts in this process's place."""
+        return any(peer.ready for peer in self.peers)
+
+    def replaced(self) -> None:
+        """A successor accepts: its own socket lies over the path now."""
+        self._stop_listening()
+        self.side.hold(True)
+
+    def left(self, peer: Peer) -> None:
+        """A link has gone: without a successor this process accepts again, unless it is about to end."""
+        self.peers.remove(peer)
+        if peer.ready and not self.handed_over:
+            self.side.hold(False)
+
+    def tell_ban(self, engine: str, since: float | None) -> None:
+        """A ban has begun or ended here. Guards against an echo: two calls that cross would be told back for ever."""
+        for peer in [each for each in self.peers if each is not self.source]:
+            peer.tell(ban=[engine, since])
+
+    def others(self) -> Use:
+        """What all other processes of this broker hold."""
+        total = Use()
+        for peer in self.peers:
+            total = total.plus(peer.use)
+        return total
+
+    def tell_use(self) -> None:
+        """Tell each peer what this process holds, and those behind it."""
+        own = self.side.use()
+        for peer in self.peers:
+            now = own
+            for other in self.peers:
+                now = now.plus(other.use) if other is not peer else now
+            if now != peer.told:
+                peer.told = now
+                peer.tell(use=[round(now.memory_mb, 1), now.clients, now.engines])
+
+    def close(self) -> None:
+        """Leave; the path is taken away only where it is still this process's own."""
+        own = self.listener is not None
+        self._stop_listening()
+        if own:
+            try:
+                os.unlink(self.path)
+            except OSError:
+                pass
+        for peer in list(self.peers):
+            peer.conn.on_closed = lambda why: None
+            peer.conn.close("the broker ends")
--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -92,6 +92,15 @@
         except OSError:
             return True
 
+    def quiet(self) -> bool:
+        """Whether nothing is under way in either direction, not even in the kernel."""
+        if len(self.inbound) or not self.idle:
+            return False
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except OSError:
+            return True
+
     def withdraw(self, message: Message) -> bool:
         """Take a message back that has not begun."""
         if message in self.outbox:
--- a/umberusher/noticeboard.py
+++ b/umberusher/noticeboard.py
@@ -12,8 +12,9 @@
 
 log = logging.getLogger(__name__)
 LINGER_MS = 2_000  # of one poll: what the board tells counts as told after 7 s, so silence must show long before
+FIRST_MS = 200  # of the first poll on a connection: what is known may be old, and a silent board shows soon
 SILENT_MS = 700.0  # beyond that an answer is not coming any more
-RETRY_MS, RETRY_MOST_MS = 50.0, 800.0  # wait before a further new connection, doubling; the first comes at once
+RETRY_MS, RETRY_MOST_MS = 50.0, 400.0  # wait before a further new connection, doubling; the first comes at once
 BUFFER = 1 << 16
 
 
@@ -24,6 +25,8 @@
                  take: Callable[[Notice], None]) -> None:
         self.loop, self.address, self.rev, self.take = loop, address, rev, take
         self.retry_ms = 0.0
+        self.linger_ms = FIRST_MS
+        self.heard = False  # the board has answered: the list is as new as it can be
         self.timer: Timer | None = None  # the one thing that is waited for: a new try, or an answer
         self.conn: Connection | None = None
         self.closed = False
@@ -36,6 +39,7 @@
         if isinstance(conn, str):
             self._later(conn)
             return
+        self.linger_ms = FIRST_MS
         self.conn, self.client = conn, PollClient(f"{self.address[0]}:{self.address[1]}")
         conn.on_open, conn.on_data, conn.on_closed = self._ask, self._data, self._later
         self.timer = self.loop.call_later(SILENT_MS, lambda: conn.close("silent"))
@@ -72,8 +76,8 @@
         self.timer.cancel()
         self.asked_at = self.loop.clock()
         # Guards against a board that is cut off: its connection stays open and says nothing.
-        self.timer = self.loop.call_later(LINGER_MS + SILENT_MS, lambda: conn.close("silent"))
-        conn.send(Raw(self.client.poll(self.rev(), LINGER_MS)))
+        self.timer = self.loop.call_later(self.linger_ms + SILENT_MS, lambda: conn.close("silent"))
+        conn.send(Raw(self.client.poll(self.rev(), self.linger_ms)))
 
     def _data(self) -> None:
         conn = self.conn
@@ -84,8 +88,9 @@
         if isinstance(found, BoardFault):
             conn.close(found.why)
             return
-        self.retry_ms = 0.0
-        quick = not found and self.loop.clock() - self.asked_at < LINGER_MS / 2000
+        self.retry_ms, self.heard = 0.0, True
+        quick = not found and self.loop.clock() - self.asked_at < self.linger_ms / 2000
+        self.linger_ms = LINGER_MS
         for notice in found:
             self.take(notice)
         if not self.client.reusable:
--- a/umberusher/protocol/board.py
+++ b/umberusher/protocol/board.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 
 import h11
 
@@ -72,6 +74,15 @@
     return sorted(found, key=lambda notice: notice.rev)
 
 
+def document(rev: int, entries: Iterable[tuple[api.EngineEntry, tuple[str, int]]]) -> dict[str, Any]:
+    """A whole list as the one notice numbered ``rev``, in the form that ``notices`` reads."""
+    words = {state: word for word, state in STATES.items()}
+    made = [{"instanceId": entry.engine, "hostPort": f"{host}:{port}", "zone": entry.zone, "machineType": entry.kind,
+             "cell": entry.cell, "lifecycle": words[entry.state], "weight": entry.weight,
+             "startedAtMs": entry.started_ms or 0} for entry, (host, port) in entries]
+    return {"rev": rev, "notices": [{"rev": rev, "pool": {"reset": True, "instances": made}}]}
+
+
 class PollClient:
     """The client side of one HTTP connection: a poll at a time."""
 
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -21,6 +21,7 @@
 log = logging.getLogger(__name__)
 INBOUND = codec.MAX_LINE + codec.MAX_BODY + 2
 OUTBOUND = (1 << 20) + codec.MAX_LINE  # the largest statement with its line
+LEAST = 8  # connections that a process may have though others of its broker hold all the rest
 PROBE_MS = 500.0  # a probe that has brought nothing by then brings nothing
 IDLE_MARGIN_MS = 1_000.0  # a connection this near to idling out is not used again
 RETIRED_MOST = 256  # given-up ids remembered for a connection; then it takes no more
@@ -180,6 +181,7 @@
         self.now_ms, self.post = now_ms, post
         self.multiplex, self.connect_timeout_ms, self.keepalive_ms = multiplex, connect_timeout_ms, keepalive_ms
         self.most = most  # connections to all engines together
+        self.elsewhere = 0  # those of other processes of this broker
         self.links: dict[str, list[Link]] = {}
         self._tags = itertools.count(1)
         route.on_closed, route.on_moved = self._stop_engine, self._retire_engine
@@ -258,8 +260,13 @@
             link.conn.close("ended by the engine")
         return self._connect(member)
 
+    @property
+    def count(self) -> int:
+        """Connections to all engines."""
+        return sum(map(len, self.links.values()))
+
     def _connect(self, member: Member) -> Link | str | None:
-        if sum(map(len, self.links.values())) >= self.most and not self._spare():
+        if self.count >= max(self.most - self.elsewhere, min(self.most, LEAST)) and not self._spare():
             return None
         conn = connection.connect(self.loop, member.address, INBOUND, OUTBOUND)
         if isinstance(conn, str):
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -27,6 +27,7 @@
 UNREAD_MS = 30_000.0  # with answers that the client doesn't read
 REST_MS = 1_000.0  # quiet for this long, a connection gives its buffers back
 ACCEPTS = 64  # connections accepted in one go, so that open ones get their turn
+LEAST = 16  # connections that a process may have though others of its broker hold all the rest
 PAUSE_MS = 20.0  # rest of the listener when descriptors have run out
 RID = re.compile(r"[0-9a-fA-F]{16}")
 NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,20})?([eE][+-]?[0-9]{1,2})?")
@@ -260,20 +261,37 @@
         self.large: set[Client] = set()  # with more than LARGE bytes of an unfinished call
         self.clients: set[Client] = set()
         self.listener: socket.socket | None = None
+        self.held = True  # accepts nothing
+        self.elsewhere = 0  # clients of other processes of this broker
 
     def listen(self, address: tuple[str, int]) -> None:
         """Open the listener; OSError where the address can't be had."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)  # the way out for an upgrade without a link
         try:
             sock.bind(address)
             sock.listen(1024)
         except OSError:
             sock.close()
             raise
+        self.adopt(sock)
+        self.hold(False)
+
+    def adopt(self, sock: socket.socket) -> None:
+        """Take a listener that is open already; nothing is accepted from it yet."""
         sock.setblocking(False)
         self.listener = sock
-        self.loop.spawn(self._accept(sock))
+
+    def hold(self, held: bool) -> None:
+        """Accept nothing for now, or go on; the listener stays open, for another process shares its queue."""
+        if self.listener is None or held is self.held:
+            return
+        self.held = held
+        if held:
+            self.loop.forget(self.listener.fileno())
+        else:
+            self.loop.spawn(self._accept(self.listener))
 
     def _accept(self, sock: socket.socket) -> Coroutine:
         events = READ
@@ -295,11 +313,11 @@
                 self._admit_client(client)
 
     def _listen_again(self) -> None:
-        if self.listener:
+        if self.listener and not self.held:
             self.loop.watch(self.listener.fileno(), READ)
 
     def _admit_client(self, sock: socket.socket) -> None:
-        if len(self.clients) >= self.most and not self._evict():
+        if len(self.clients) >= max(self.most - self.elsewhere, min(self.most, LEAST)) and not self._evict():
             # Guards the descriptors that engines and the notice board need.
             log.warning("client turned away: %d connections are open", len(self.clients))
             sock.close()
@@ -327,6 +345,14 @@
             if why:
                 client.conn.close(why)
 
+    def ebb(self) -> None:
+        """Close each connection that carries nothing: a successor takes its client's next one.
+
+        Guards calls that are with the kernel already; one that crosses the close is sent again by its client.
+        """
+        for client in [each for each in self.clients if not each.open and each.conn.quiet()]:
+            client.conn.close("handed over")
+
     @property
     def idle(self) -> bool:
         """No call is open and all answers are with the kernel."""
