--- a/tests/rig.py
+++ b/tests/rig.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import threading
 
 from tests.test_codecs import execute
 from tests.test_config import CONF
@@ -36,7 +37,7 @@
 class Rig:
     """One broker with its board, engines and clients, all played by the test."""
 
-    def __init__(self, engines: int = 1) -> None:
+    def __init__(self, engines: int = 1, path: str | None = None) -> None:
         self.now = 1_700_000_000.0
         self.listeners = {name: self._listen() for name in ["board", *(f"s-{n}" for n in range(engines))]}
         self.rev, self.peers = 0, []
@@ -44,7 +45,8 @@
                        "known": self.notices(*[(f"s-{n}", f"s-{n}", "SERVING") for n in range(engines)], reset=True)}
         parsed = config.parse(conf)
         parsed.listen = ("127.0.0.1", 0)
-        self.broker = Broker(parsed, Loop(lambda: self.now), lambda: self.now)
+        self.broker = Broker(parsed, Loop(lambda: self.now), lambda: self.now, path=path)
+        self.brokers = [self.broker]
         self.broker.start()
         self.board = self.accept("board")
         self.seqid = 0
@@ -68,18 +70,32 @@
         self.board.sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
         self.until(lambda: self.broker.route.rev == self.rev)
 
+    def step(self, ms: float) -> None:
+        for broker in self.brokers:
+            broker.loop.step(ms / len(self.brokers))
+
+    def successor(self) -> Broker:
+        """Start the program beside itself; its start waits for the greeting, so the old one's loop runs meanwhile."""
+        new = Broker(self.broker.config, Loop(lambda: self.now), lambda: self.now, path=self.broker.handover.path)
+        begun = threading.Thread(target=new.start)
+        begun.start()
+        self.until(lambda: not begun.is_alive())
+        begun.join()
+        self.brokers.append(new)
+        return new
+
     def until(self, condition, steps: int = 200) -> None:
         for _ in range(steps):
             if condition():
                 return
-            self.broker.loop.step(5)
+            self.step(5)
         raise AssertionError("it did not come to that")
 
     def later(self, ms: float, step: float = 20.0) -> None:
         """Let time pass."""
         for _ in range(int(ms // step)):
             self.now += step / 1000
-            self.broker.loop.step(0)
+            self.step(0)
 
     def accept(self, name: str) -> Peer:
         found = []
@@ -141,7 +157,8 @@
         return found[0]
 
     def close(self) -> None:
-        self.broker.close()
+        for broker in self.brokers:
+            broker.close()
         for sock in [*self.listeners.values(), *(peer.sock for peer in self.peers)]:
             sock.close()
 
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,241 @@
+"""Two processes of one broker: the listener passes, bans hold in both, and no fault of the link costs service."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import struct
+
+import pytest
+
+from tests.rig import Rig
+from umberusher import broker, handover, noticeboard
+from umberusher.interface import EngineState
+from umberusher.net.loop import Loop
+
+ABORTED, TRYLATER = struct.pack(">bh", 12, 2), struct.pack(">bh", 12, 1)
+
+
+def upgraded(rig, tmp_path, engines: int = 1, accepts: bool = True) -> tuple[Rig, broker.Broker]:
+    """A broker and its successor; where it is to accept, the notice board has answered it."""
+    made = rig(engines, str(tmp_path / "s"))
+    new = made.successor()
+    if accepts:
+        made.board_of_new = made.accept("board")
+        made.expect(made.board_of_new, b"linger=%d " % noticeboard.FIRST_MS)
+        body = b'{"rev":%d,"notices":[]}' % made.rev
+        made.board_of_new.sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        made.until(lambda: new.board.heard)
+        made.later(200)
+        made.until(lambda: made.broker.handover.handed_over)
+    return made, new
+
+
+def test_the_successor_accepts_and_the_old_one_reads_on(rig, tmp_path):
+    rig = rig(1, str(tmp_path / "s"))
+    client, first, engine = rig.begun()
+    new = rig.successor()
+    assert not new.ready() and new.front.held and not rig.broker.front.held
+    rig.board = rig.accept("board")
+    body = b'{"rev":%d,"notices":[]}' % rig.rev
+    rig.board.sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    rig.later(200)
+    rig.until(lambda: new.ready() and rig.broker.front.held)
+    other = rig.client()
+    rig.until(lambda: new.front.clients)
+    rig.broker.stop()
+    rig.later(1500)
+    assert rig.broker.book.in_flight == 1 and len(rig.broker.front.clients) == 1
+    engine.sock.send(f"{first} HIT count=1 6\r\na\t1\t2\n\r\n".encode())
+    assert b"a\t1\t2\n" in rig.answer(client)
+    rig.broker.loop.running = True
+    rig.later(200)
+    assert client.read() == b"" and client.ended and not rig.broker.loop.running  # closed while quiet; the old one ends
+    assert not other.read() and not other.ended and new.handover.listener is not None
+
+
+def test_a_successor_waits_for_the_boards_word_but_not_for_ever(rig, tmp_path):
+    made, new = upgraded(rig, tmp_path, accepts=False)
+    made.later(500)
+    assert not new.ready() and not made.broker.front.held
+    made.later(1000 * broker.FRESH_S)
+    made.until(lambda: new.ready() and made.broker.front.held)
+
+
+def test_the_list_bans_and_old_ids_pass_on_and_a_ban_holds_in_both(rig, tmp_path):
+    rig = rig(3, str(tmp_path / "s"))
+    rig.broker.route.take(rig.notice(("s-1", "s-1", "DELETED")))
+    rig.broker.route.ban("s-0")
+    new = rig.successor()
+    assert new.route.rev == rig.broker.route.rev and set(new.route.members) == {"s-0", "s-2"}
+    assert new.route.find("s-0") is None and new.route.ban("s-1") and new.route.unban("s-1")
+    new.route.ban("s-2")
+    rig.until(lambda: rig.broker.route.find("s-2") is None)
+    rig.broker.route.unban("s-0")
+    rig.until(lambda: new.route.find("s-0"))
+    assert rig.broker.route.members["s-2"].told.state is EngineState.UP
+
+
+def test_calls_that_cross_are_not_told_back_for_ever(rig, tmp_path, monkeypatch):
+    rig = rig(1, str(tmp_path / "s"))
+    new = rig.successor()
+    told = []
+    monkeypatch.setattr(handover.Peer, "tell", lambda self, **message: told.append(message))
+    for each in rig.brokers:
+        each.handover.peers[0]._take({"ban": ["s-0", 1.0]})
+        each.handover.peers[0]._take({"ban": ["s-0", None]})
+    assert not told and not new.route.banned
+
+
+def test_limits_hold_for_both_together(rig, tmp_path, monkeypatch):
+    made, new = upgraded(rig, tmp_path)
+    made.client()
+    made.until(lambda: new.front.clients)
+    monkeypatch.setattr(broker, "resident_mb", lambda: 80.0)
+    made.later(400)
+    assert made.broker.front.elsewhere == 1 and new.handover.others().memory_mb == 80.0
+    assert new.admit.tight is False and made.broker.handover.others().memory_mb == 80.0
+    assert made.broker._tight((80 + 80) / 192, 10)
+
+
+def test_a_link_that_breaks_before_sigterm_has_the_old_one_accept_again(rig, tmp_path):
+    made, new = upgraded(rig, tmp_path)
+    new.close()
+    made.brokers.remove(new)
+    made.until(lambda: not made.broker.front.held)
+    made.begun()
+    assert made.broker.handover.listener is not None
+
+
+def test_a_link_that_breaks_after_sigterm_leaves_the_listener_to_the_successor(rig, tmp_path):
+    made, new = upgraded(rig, tmp_path)
+    made.broker.stop()
+    made.later(200)
+    new.handover.peers[0].conn.close("broken")
+    made.later(200)
+    assert made.broker.front.held and made.broker.leaving
+
+
+def test_what_is_open_shortly_before_the_end_gets_its_answer(rig, tmp_path):
+    made = rig(1, str(tmp_path / "s"))
+    client = made.client()
+    made.ask(client, "load", obj="k", budget="25000")
+    made.expect(made.accept("s-0"), b"REQ")
+    new = made.successor()
+    made.later(1000 * broker.FRESH_S + 300)
+    made.until(lambda: made.broker.front.held)
+    made.broker.stop()
+    made.broker.loop.running = True
+    made.later(4800)
+    held = made.ask(client, "load", obj="k", budget="25000")  # waits for its key's turn
+    made.later(400)
+    assert made.broker.book.tickets[held].open and made.broker.loop.running and not client.read()
+    made.later(200)
+    assert ABORTED in client.read() and TRYLATER in client.read() and b"backoff" in client.got
+    made.later(200)
+    assert not made.broker.loop.running and not made.broker.book.in_flight and new.ready()
+
+
+def test_without_a_successor_the_path_is_taken_away_at_the_end(rig, tmp_path):
+    made = rig(1, str(tmp_path / "s"))
+    assert os.stat(tmp_path / "s").st_mode & 0o777 == 0o600
+    made.broker.handover.close()
+    assert not os.listdir(tmp_path)
+
+
+@pytest.mark.parametrize("trouble", ["stale", "silent", "garbage", "half", "list"])
+def test_a_process_before_that_is_of_no_use_costs_no_service(rig, tmp_path, trouble, monkeypatch, caplog):
+    monkeypatch.setattr(handover, "HELLO_S", 0.1)
+    path = str(tmp_path / "s")
+    before = socket.socket(socket.AF_UNIX)
+    before.bind(path)
+    if trouble == "stale":
+        before.close()
+    else:
+        before.listen(1)
+        peer = socket.socket(socket.AF_UNIX)
+    link = None
+    if trouble in ("garbage", "half", "list"):
+        text = {"garbage": b"{]\n", "half": b'{"hello"', "list": b"[1]\n"}[trouble]
+        real = socket.recv_fds
+
+        def answer(sock, *more):
+            nonlocal link
+            link, _ = before.accept()
+            socket.send_fds(link, [b"L"], [before.fileno()])
+            link.send(text)
+            return real(sock, *more)
+
+        monkeypatch.setattr(socket, "recv_fds", answer)
+    made = rig(1, path)
+    assert made.broker.ready() and made.broker.handover.listener is not None
+    assert sum("handover" in record.message for record in caplog.records) == (trouble != "stale")
+    made.begun()
+    for sock in filter(None, [before, link, None if trouble == "stale" else peer]):
+        sock.close()
+
+
+def test_a_path_too_long_for_a_socket_costs_one_line(rig, tmp_path, caplog):
+    made = rig(1, str(tmp_path / ("d" * 120) / "s"))
+    assert made.broker.ready() and len([r for r in caplog.records if "handover" in r.message]) <= 2
+    made.begun()
+    assert handover.socket_path({}, ("127.0.0.1", 1)) is None
+
+
+@pytest.mark.parametrize("line", [b"{]\n", b"[]\n", b'{"use":[1]}\n', b'{"ban":3}\n', b'{"use":["x",{},1]}\n'])
+def test_a_peer_that_talks_nonsense_is_left(rig, tmp_path, line):
+    made, new = upgraded(rig, tmp_path)
+    new.handover.peers[0].conn.sock.send(line)
+    made.until(lambda: not made.broker.handover.peers)
+    made.until(lambda: not made.broker.front.held)
+
+
+def test_a_second_upgrade_finds_the_newest_process(rig, tmp_path):
+    made, new = upgraded(rig, tmp_path)
+    third = made.successor()
+    assert third.handover.peers and any(peer.successor for peer in new.handover.peers)
+    assert not any(peer.successor and not peer.ready for peer in made.broker.handover.peers)
+    third.route.ban("s-0")
+    made.until(lambda: made.broker.route.find("s-0") is None)  # by way of the second
+
+
+def test_what_is_handed_over_reads_as_known():
+    from umberusher import interface as api
+    from umberusher.protocol import board
+    entry = api.EngineEntry("s-0", EngineState.DRAINING, "std-8", "room-a", 1, 4.0, 7.0)
+    notice, = board.notices(json.loads(json.dumps(board.document(9, [(entry, ("127.0.0.1", 80))]))), 0)
+    assert notice.complete and notice.rev == 9 and notice.entries == (entry,)
+    assert notice.addresses == {"s-0": ("127.0.0.1", 80)}
+
+
+def test_the_greeting_has_an_end(tmp_path):
+    """A peer that drips bytes must not hold a start for longer than its time."""
+    path, now = str(tmp_path / "s"), [0.0]
+
+    def clock() -> float:
+        now[0] += 0.4
+        return now[0]
+
+    server = socket.socket(socket.AF_UNIX)
+    server.bind(path)
+    server.listen(1)
+    loop = Loop()
+    real = socket.recv_fds
+    links = []
+
+    def answer(sock, *more):
+        links.append(server.accept()[0])
+        socket.send_fds(links[0], [b"L"], [server.fileno()])
+        links[0].send(b"x" * 10)
+        return real(sock, *more)
+
+    socket.recv_fds = answer
+    try:
+        found = handover.take_over(path, clock)
+    finally:
+        socket.recv_fds = real
+        loop.close()
+    assert isinstance(found, str)
+    for sock in [server, *links]:
+        sock.close()
