Answer at once what an engine calls over, and renew limits while bytes come

The rest of an answer and of a call counted from the first byte; it is renewed by each further byte now, with a hard end.

--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -248,6 +248,8 @@
         self.board.move(found.board)
 
     def _sweep(self) -> None:
+        # Planned first: a fault below must not end the sweeps, and with them the end of this process after SIGTERM.
+        self.loop.call_later(SWEEP_MS, self._sweep)
         if self.reloading:
             self._reload()
         self.front.sweep()
@@ -258,8 +260,6 @@
             self._come_in()
         if self.stopping_at is not None and self._ended(self.clock() - self.stopping_at):
             self.loop.running = False
-            return
-        self.loop.call_later(SWEEP_MS, self._sweep)
 
     def _ended(self, passed: float) -> bool:
         """Whether this process ends now, so long after SIGTERM."""
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -663,7 +663,7 @@
     def _again(self, request: _Request, attempt: _Attempt, ending: Ending) -> None:
         """One more attempt where the rules allow it, else the final answer."""
         request.avoid = attempt.engine
-        if (request.sent < self.limits.max_attempts and self.now < request.deadline
+        if (ending is not Ending.MOOT and request.sent < self.limits.max_attempts and self.now < request.deadline
                 and len(request.erred) < ERRED_MOST and not (request.cls.effect is Effect.UNSAFE and request.doubt)
                 and self._may_repeat(request, attempt.engine)):
             self._hold(request, front=True)
--- a/umberusher/stages/relay.py
+++ b/umberusher/stages/relay.py
@@ -30,8 +30,12 @@
             self._first(attempt, reply)
         elif reply.word == "PART" and attempt.count:
             self._part(attempt, reply)
-        elif reply.word in ("SHED", "LATE") and not attempt.count:
+        elif reply.word == "SHED" and not attempt.count:
             self.book.ended(attempt, Ending.FULL, codec.report(reply.fields))
+        elif reply.word == "LATE" and not attempt.count:
+            # Guards engines against being left out as full for a client that has gone, and the ration against tries
+            # that can only bring the same answer.
+            self.book.ended(attempt, Ending.MOOT, codec.report(reply.fields))
         elif reply.word == "FAULT":
             self._lost(attempt, "the engine answered with an error", reply)
         else:
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -25,7 +25,7 @@
 PROBE_MS = 500.0  # a probe that has brought nothing by then brings nothing
 IDLE_MARGIN_MS = 1_000.0  # a connection this near to idling out is not used again
 RETIRED_MOST = 256  # given-up ids remembered for a connection; then it takes no more
-HALF_MS = 500.0  # for the rest of an answer that has begun
+HALF_MS, HALF_MOST_MS = 500.0, 1_500.0  # without a further byte of an answer that has begun, and for all of it
 DEAD_MS = 2_500.0  # silence of a connection in doubt; engines that work tell of each query every second
 PAGES_MS = 1_500.0  # for the next page of a result that has begun
 
@@ -71,7 +71,7 @@
         self.probes: dict[str, Probing] = {}
         self.retired: set[str] = set()  # ids given up here: late lines of theirs may still come
         self.used_ms = self.heard_ms = send.now_ms()
-        self.half_ms: float | None = None  # since when there is a part of an answer
+        self.half_ms: float | None = None  # since when there is a part of an answer; its bytes come in any pieces
         self.old = False  # of a process or an address that is no more: it ends what it carries and takes nothing new
         self.suspect = False  # a probe brought nothing, and nothing else has come since
         conn.on_open, conn.on_data, conn.on_closed = self._opened, self._data, self._closed
@@ -109,18 +109,19 @@
 
         Guards against answers that break off while the connection stays open: all others on it would wait in vain.
         """
-        if self.half_ms is not None and now_ms - self.half_ms > HALF_MS:
+        if self.half_ms is not None and (now_ms - self.heard_ms > HALF_MS or now_ms - self.half_ms > HALF_MOST_MS):
             return "half an answer"
         return ""
 
     def give_up_pages(self, now_ms: float) -> None:
         """Give up the results whose pages have stopped.
 
-        Guards the others on the connection: one page that is late or lost says little of them while they get answers.
-        Where nothing else has come either, the connection is dead, and they would wait in vain.
+        Not while a part of an answer is here, which may be that page. Guards the others on the connection: a page that
+        is late or lost says little of them while they get answers. Where nothing else has come either, the connection
+        is dead, and they would wait in vain.
         """
         for attempt in list(self.attempts.values()):
-            if attempt.count and now_ms - attempt.heard_ms > PAGES_MS:
+            if attempt.count and now_ms - attempt.heard_ms > PAGES_MS and self.half_ms is None:
                 log.warning("engine %s: pages stopped", self.engine)
                 if self.heard_ms <= attempt.heard_ms:
                     self.conn.close("pages stopped")
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -22,7 +22,8 @@
 OUTBOUND = 1 << 20  # an answer is 48,000 bytes of rows at the most
 OPEN_MOST = 32  # open calls of one connection: what clients promise
 UNWRITTEN_MOST = 64  # answers that a client has not read, before it is read no more itself
-ASK_MS = 2_000.0  # from a connection's start to its first whole call, and for the rest of a call that has begun
+ASK_MS = 2_000.0  # from a connection's start to its first byte, and without a further byte of a call that has begun
+FIRST_MOST_MS, ASK_MOST_MS = 2_700.0, 6_000.0  # from a connection's start to its first whole call; for any other call
 IDLE_MS = 10_000.0  # without a call; clients close after 4 s
 UNREAD_MS = 30_000.0  # with answers that the client doesn't read
 REST_MS = 1_000.0  # quiet for this long, a connection gives its buffers back
@@ -174,7 +175,8 @@
             return "takes no answers" if quiet > UNREAD_MS else ""
         if self.open:
             return ""
-        if self.half_ms is not None and now_ms - self.half_ms > ASK_MS:
+        most = ASK_MOST_MS if self.asked else FIRST_MOST_MS
+        if self.half_ms is not None and (quiet > ASK_MS or now_ms - self.half_ms > most):
             return "half a call" if self.asked or len(self.conn.inbound) else "never asked"
         return "idle" if quiet > IDLE_MS else ""
 
