Pass open client connections on to the successor in an upgrade

Seen: in each old process ended with 8 to 32 calls out, by the log reports and loads of any age that had come over connections from before. Ruled out: waiting calls at the door (0 requests ended there) and a slow start (ready in 0.6 s).

--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -76,7 +76,8 @@
         self.board = NoticeBoard(self.loop, config.board, lambda: self.route.rev, self.route.take)
         self.door = Door(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.ban, self.route.unban))
         self.handover = Handover(self.loop, path, Side(
-            self._hello, lambda: self.front.listener, self._use, self._ban, self._hold))
+            self._hello, lambda: self.front.listener, self._use, self._ban, lambda: self.front.clients, self.front.come,
+            self._hold))
         self.route.on_ban = self.handover.tell_ban
         self.carry: dict[type, Callable[..., None]] = {
             api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self.book.refuse,
@@ -276,8 +277,10 @@
             self.admit.tight = True
             for rid in self.book.end_all(self.admit.backoff_ms):
                 self.post(api.ClientLeft(rid))
-        self.front.ebb()
-        return not self.front.clients or beyond > LEAVE_LAST_S
+        if not self.handover.pass_clients():
+            self.front.ebb()
+        done = not self.front.clients and not self.book.in_flight and self.handover.idle
+        return done or beyond > LEAVE_LAST_S
 
     def _tight(self, part: float, count: int) -> bool:
         """Whether memory is near its limit: nothing more is taken until it falls, or what is open has halved.
--- a/umberusher/handover.py
+++ b/umberusher/handover.py
@@ -1,29 +1,34 @@
 """Handover: an old process and its successor act as one broker, linked by a Unix socket in ``$TMPDIR``.
 
-The old one sends one byte that carries the clients' listener, then ``hello``; after that each side sends a JSON line
-a message: ``ready`` (the successor accepts from now on), ``ban`` and ``use``. Nothing that goes wrong here may cost
-service: every fault is one log line.
+The old one sends one byte that carries the clients' listener and one end of a channel, then ``hello``; after that each
+side sends a JSON line a message: ``ready`` (the successor accepts from now on), ``ban`` and ``use``. While the old one
+leaves, each packet of the channel carries one client's connection; ``answer`` brings what is to be written there,
+``leave`` tells that a client waits no more. Nothing that goes wrong here may cost service: every fault is one log line.
 """
 
 from __future__ import annotations
 
+import base64
+import itertools
 import json
 import logging
 import os
 import socket
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 from umberusher.net.connection import Connection, Raw, State
 from umberusher.net.loop import READ, Coroutine, Loop, Wait
 from umberusher.protocol.board import BoardFault, Notice, notices
+from umberusher.stages.take_in import Client
 
 log = logging.getLogger(__name__)
 HELLO_MOST = 1 << 20  # bytes of a message
 HELLO_S = 1.5  # for the whole greeting; the start waits for it
 PEERS_MOST = 4
+PACKET_MOST = 4_096  # bytes that come with one connection
 
 
 @dataclass(slots=True)
@@ -44,6 +49,7 @@
     """What a successor was given."""
 
     listener: socket.socket
+    channel: socket.socket | None  # over which connections come
     link: socket.socket
     rest: bytes  # what came behind the greeting
     known: list[Notice]
@@ -59,6 +65,8 @@
     listener: Callable[[], socket.socket | None]
     use: Callable[[], Use]
     ban: Callable[[str, float | None], None]
+    clients: Callable[[], Iterable[Client]]  # the connections that may be passed on
+    come: Callable[[socket.socket, list[int], Callable[[int], None]], Client]  # one that was
     hold: Callable[[bool], None]  # whether a successor accepts in this process's place
 
 
@@ -79,7 +87,7 @@
         until = clock() + HELLO_S
         link.settimeout(HELLO_S)
         link.connect(path)
-        _, fds, _, _ = socket.recv_fds(link, 1, 1)
+        _, fds, _, _ = socket.recv_fds(link, 1, 2)
         if not fds:
             raise ValueError("no listener came")
         got = b""
@@ -94,10 +102,10 @@
         known = notices(hello["known"], 0)
         if isinstance(known, BoardFault):
             raise ValueError(known.why)
-        taken = Taken(socket.socket(fileno=fds[0]), link, rest, known, [str(name) for name in hello["seen"]],
-                      {str(name): float(since) for name, since in hello["banned"].items()})
-        fds = []
-        return taken
+        seen = [str(name) for name in hello["seen"]]
+        banned = {str(name): float(since) for name, since in hello["banned"].items()}
+        listener, channel = [*(socket.socket(fileno=fd) for fd in fds), None][:2]
+        return Taken(listener, channel, link, rest, known, seen, banned)
     except (FileNotFoundError, ConnectionRefusedError):  # nobody there; a file may lie there still
         link.close()
         return None
@@ -118,9 +126,66 @@
     ready: bool = False
     use: Use = field(default_factory=Use)
     told: Use | None = None
+    channel: socket.socket | None = None
+    clients: dict[int, Client] = field(default_factory=dict)  # passed on, here or there, by number
+    numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
 
     def __post_init__(self) -> None:
         self.conn.on_data, self.conn.on_closed = self.data, self._closed
+        if self.channel:
+            self.channel.setblocking(False)
+            if not self.successor:
+                self.owner.loop.spawn(self._receive())
+
+    # -- Connections
+
+    def pass_on(self, client: Client) -> bool:
+        """Give a client's connection to the successor; False where that can't be done now."""
+        number = next(self.numbers)
+        packet = json.dumps({"client": number, "open": list(client.open)}).encode()
+        try:
+            socket.send_fds(self.channel, [packet], [client.conn.fd])
+        except OSError:
+            return False
+        self.clients[number] = client
+        client.go(lambda seqid, data: self.tell(answer=[number, seqid, base64.b64encode(data).decode()]))
+        return True
+
+    def _receive(self) -> Coroutine:
+        channel = self.channel
+        while self.channel is channel:
+            yield Wait(channel.fileno(), READ)
+            self._come()
+
+    def _come(self) -> None:
+        """Take all connections that are here."""
+        while self.channel:
+            fds: list[int] = []
+            try:
+                packet, fds, _, _ = socket.recv_fds(self.channel, PACKET_MOST, 1)
+                if not packet:
+                    self.close_channel()
+                    return
+                told = json.loads(packet)
+                number, seqids = int(told["client"]), [int(seqid) for seqid in told["open"]]
+                sock, fds = socket.socket(fileno=fds[0]), []
+                self.clients[number] = self.owner.side.come(
+                    sock, seqids, lambda seqid, number=number: self.tell(leave=[number, seqid]))
+            except (BlockingIOError, InterruptedError):
+                return
+            except (OSError, ValueError, KeyError, TypeError, IndexError) as error:
+                log.warning("handover: a connection was not taken: %s %s", type(error).__name__, error)
+                for fd in fds:
+                    os.close(fd)
+
+    def close_channel(self) -> None:
+        """Give the channel back."""
+        channel, self.channel = self.channel, None
+        if channel:
+            self.owner.loop.forget(channel.fileno())
+            channel.close()
+
+    # -- Messages
 
     def tell(self, **message: Any) -> None:
         """Send one message."""
@@ -151,6 +216,15 @@
                 self.owner.side.ban(str(engine), None if since is None else float(since))
             finally:
                 self.owner.source = None
+        if "answer" in message:
+            self._come()  # the connection was sent before its answer, on the other socket
+            number, seqid, data = message["answer"]
+            if number in self.clients:
+                self.clients[number].reply(int(seqid), base64.b64decode(data, validate=True))
+        if "leave" in message:
+            number, seqid = message["leave"]
+            if number in self.clients:
+                self.clients[number].leave(int(seqid))
         if message.get("ready") is True and self.successor and not self.ready:
             self.ready = True
             log.info("handover: the successor accepts from now on")
@@ -158,6 +232,11 @@
 
     def _closed(self, why: str) -> None:
         log.info("handover: link closed: %s", why)
+        if not self.successor:
+            self._come()
+            for client in self.clients.values():
+                client.desert()
+        self.close_channel()
         self.owner.left(self)
 
 
@@ -208,20 +287,22 @@
             link.close()
             return
         try:
-            socket.send_fds(link, [b"L"], [listener.fileno()])
+            ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            with theirs:
+                socket.send_fds(link, [b"L"], [listener.fileno(), theirs.fileno()])
         except OSError as error:
             log.warning("handover: %s", error)
             link.close()
             return
         log.info("handover: a successor has come")
-        self._join(link, successor=True).tell(hello=self.side.hello())
+        self._join(link, ours, successor=True).tell(hello=self.side.hello())
 
-    def _join(self, link: socket.socket, successor: bool, rest: bytes = b"") -> Peer:
+    def _join(self, link: socket.socket, channel: socket.socket | None, successor: bool, rest: bytes = b"") -> Peer:
         link.setblocking(False)
         conn = Connection(self.loop, link, State.OPEN, HELLO_MOST, HELLO_MOST)
         conn.inbound.write(rest)
         self.loop.hurry(conn.fd)
-        peer = Peer(self, conn, successor)
+        peer = Peer(self, conn, successor, channel=channel)
         self.peers.append(peer)
         self.loop.spawn(conn.serve())
         peer.data()
@@ -237,7 +318,7 @@
 
     def join(self, taken: Taken) -> None:
         """Keep the link to the process that serves until now."""
-        self._join(taken.link, successor=False, rest=taken.rest)
+        self._join(taken.link, taken.channel, successor=False, rest=taken.rest)
 
     def say_ready(self) -> None:
         """This process accepts from now on."""
@@ -253,6 +334,21 @@
         """Whether a successor accepts in this process's place."""
         return any(peer.ready for peer in self.peers)
 
+    def pass_clients(self) -> bool:
+        """Give the successor each connection in which no byte is under way; whether there is one that takes them."""
+        peer = next((each for each in self.peers if each.ready and each.channel), None)
+        if peer is None:
+            return False
+        for client in [each for each in self.side.clients() if each.clean]:
+            if not peer.pass_on(client):
+                break
+        return True
+
+    @property
+    def idle(self) -> bool:
+        """Whether all that was told is with the kernel."""
+        return all(peer.conn.idle for peer in self.peers)
+
     def replaced(self) -> None:
         """A successor accepts: its own socket lies over the path now."""
         self._stop_listening()
@@ -299,3 +395,4 @@
         for peer in list(self.peers):
             peer.conn.on_closed = lambda why: None
             peer.conn.close("the broker ends")
+            peer.close_channel()
--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -101,6 +101,12 @@
         except OSError:
             return True
 
+    def detach(self) -> None:
+        """Let go of the socket without a word to its owner: another process has it now."""
+        self.state = State.CLOSED
+        self.loop.forget(self.fd)
+        self.sock.close()
+
     def withdraw(self, message: Message) -> bool:
         """Take a message back that has not begun."""
         if message in self.outbox:
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -125,12 +125,22 @@
     return Ticket(arrival, call.body, caller)
 
 
+class Abroad:
+    """A call that the process before has taken and answers."""
+
+    __slots__ = ("leave",)
+
+    def __init__(self, leave: Callable[[], None]) -> None:
+        self.leave = leave
+
+
 class Client:
     """One client's connection with its open calls."""
 
     def __init__(self, front: TakeIn, conn: Connection) -> None:
         self.front, self.conn = front, conn
-        self.open: dict[int, Ticket] = {}
+        self.open: dict[int, Ticket | Abroad] = {}
+        self.away: Callable[[int, bytes], None] | None = None  # writes answers once another process has the connection
         self.used_ms = front.now_ms()
         self.asked = False  # a whole call has come
         self.half_ms: float | None = self.used_ms  # since when a call, or the first one, is waited for
@@ -186,7 +196,7 @@
         elif isinstance(call, thrift.Interrupt):
             found = self.open.pop(call.target, None)
             if found:
-                self.front.admit.leave(found)
+                self._leave(found)
         elif isinstance(call, thrift.Check):
             good = self.front.good()
             self._write(thrift.answer("check", call.seqid, b"", {}, good))
@@ -242,14 +252,47 @@
         if self.open.pop(seqid, None) is None:
             return
         self.used_ms = self.front.now_ms()
-        self._write(data)
+        if self.away:
+            self.away(seqid, data)
+        else:
+            self._write(data)
+
+    def _leave(self, call: Ticket | Abroad) -> None:
+        if isinstance(call, Abroad):
+            call.leave()
+        else:
+            self.front.admit.leave(call)
+
+    # -- An upgrade
+
+    @property
+    def clean(self) -> bool:
+        """Whether no byte is under way here: another process can read on from this very moment."""
+        return self.conn.state is State.OPEN and self.conn.idle and not len(self.conn.inbound)
+
+    def go(self, away: Callable[[int, bytes], None]) -> None:
+        """Another process has the connection; what is open is answered by way of it."""
+        self.away = away
+        self.conn.detach()
+        self.front.clients.discard(self)
+
+    def leave(self, seqid: int) -> None:
+        """The client waits no more for a call that was taken here, as the other process tells."""
+        found = self.open.pop(seqid, None)
+        if found:
+            self._leave(found)
+
+    def desert(self) -> None:
+        """The process that had taken calls of this connection is no more: they have failed."""
+        for seqid in [number for number, call in self.open.items() if isinstance(call, Abroad)]:
+            self.reply(seqid, thrift.aborted(seqid, {"reason": "the broker ended"}))
 
     def _closed(self, why: str) -> None:
         self.front.clients.discard(self)
         self.front.large.discard(self)
         left, self.open = list(self.open.values()), {}
         for each in left:
-            self.front.admit.leave(each)
+            self._leave(each)
 
 
 class TakeIn:
@@ -328,6 +371,16 @@
         self.clients.add(Client(self, conn))
         self.loop.spawn(conn.serve())
 
+    def come(self, sock: socket.socket, seqids: list[int], leave: Callable[[int], None]) -> Client:
+        """Read on a connection of another process, which answers these calls itself."""
+        conn = connection.accepted(self.loop, sock, self.frame_most + 4, OUTBOUND)
+        client = Client(self, conn)
+        client.asked, client.half_ms = True, None
+        client.open = {seqid: Abroad(lambda seqid=seqid: leave(seqid)) for seqid in seqids}
+        self.clients.add(client)
+        self.loop.spawn(conn.serve())
+        return client
+
     def _evict(self) -> bool:
         """Close the connection without open calls that has been quiet for longest, first of those in half a call."""
         quiet = [c for c in self.clients if not c.open and c.conn.idle]
