Let a key's line go on without a load whose answer never comes

Ruled out: the learned limit (3.2, its most), held queries (under 14), the ration. At fault: a load was sent with no time-out (decide.py, _send). Also: a successor is told which engines were called back, for the board may tell no start of theirs and they are cold.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -139,7 +139,10 @@
     rig = rig(3, str(tmp_path / "s"))
     rig.broker.route.take(rig.notice(("s-1", "s-1", "DELETED")))
     rig.broker.route.ban("s-0")
+    rig.broker.route.ban("s-2")
+    rig.broker.route.unban("s-2")
     new = rig.successor()
+    assert new.gateway.engines["s-2"].born == rig.broker.gateway.engines["s-2"].born  # cold there too
     assert new.route.rev == rig.broker.route.rev and set(new.route.members) == {"s-0", "s-2"}
     assert new.route.find("s-0") is None and new.route.ban("s-1") and new.route.unban("s-1")
     new.route.ban("s-2")
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tests.helpers import COLD, Bench, make_settings, only
+from tests.helpers import COLD, LOOKUP, Bench, make_settings, only
 from umberusher import interface as api
 
 
@@ -156,3 +156,42 @@
     bench.feed(api.ProbeEnded("e0", api.Ending.SERVED, 1.0, api.LoadReport(held=0.0)))
     sends = [send for _ in range(20) for send in only(bench.arrive()[1], api.Send)]
     assert "e0" in {send.engine for send in sends}
+
+
+def silent(bench, count=20):
+    """Queries whose answers never come, seen out by their clients."""
+    for _ in range(count):
+        name, actions = bench.arrive(wait=6000)
+        send, = only(actions, api.Send)
+        bench.now += 6000
+        bench.feed(api.ClientLeft(name))
+        bench.finish(send, api.Ending.TIMEOUT, closed=True, elapsed=6000.0)
+
+
+def test_a_line_waits_less_for_a_load_once_answers_have_been_seen_never_to_come():
+    turn = api.QueryClass("load", 1000, 20_000, 1, api.Effect.UNSAFE, in_order=True)
+    bench = Bench(make_settings(LOOKUP, turn), engines=4)
+    drive(bench, 50)
+    _, actions = bench.arrive("load", wait=20_000, key="a")
+    assert only(actions, api.Send)[0].timeout_ms is None
+    silent(bench)
+    _, actions = bench.arrive("load", wait=20_000, key="b")
+    first, = only(actions, api.Send)
+    assert 1500 <= first.timeout_ms < 20_000
+    second, _ = bench.arrive("load", wait=20_000, key="b")
+    actions = bench.finish(first, api.Ending.TIMEOUT, elapsed=first.timeout_ms)
+    assert only(actions, api.Fail)[0].request == first.request  # it may have run: failed at once, not tried again
+    assert second in {send.request for send in only(actions + bench.run(1000), api.Send)}
+
+
+def test_slow_answers_that_come_are_no_silence():
+    bench = Bench(engines=4)
+    drive(bench, 50)
+    drive(bench, 50, elapsed=5000.0)
+    assert bench.gateway.silence < 0.1
+    bench = Bench(engines=4)
+    drive(bench, 50)
+    silent(bench)
+    assert bench.gateway.silence > 0.3
+    drive(bench, 2000)
+    assert bench.gateway.silence < 0.1
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -181,6 +181,8 @@
             self.route.remember(engine)
         for engine, since in taken.banned.items():
             self.route.ban(engine, since)
+        for engine, since in taken.fresh.items():  # guards cold engines: the board may tell no start of theirs
+            self.route.freshen(engine, since)
         self.front.adopt(taken.listener)
         self.handover.join(taken)
 
@@ -200,7 +202,8 @@
     def _hello(self) -> dict[str, Any]:
         members = self.route.members.values()
         return {"known": document(self.route.rev, ((member.told, member.address) for member in members)),
-                "seen": list(self.route.seen), "banned": self.route.banned}
+                "seen": list(self.route.seen), "banned": self.route.banned,
+                "fresh": {name: member.fresh_ms for name, member in self.route.members.items() if member.fresh_ms}}
 
     def _use(self) -> Use:
         return Use(round(resident_mb(), 1), len(self.front.clients), self.send.count)
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -54,6 +54,11 @@
 ABANDON = 4.0  # projected time that marks an attempt as a bad plan or a sick engine
 NEARLY = 0.5  # share done above which an attempt past its aim is let run
 REDO_MAX = 2  # attempts of one request abandoned at most
+# -- Silence: answers that never come, of engines that are well otherwise
+SILENT_TIMES, SILENT_LEAST_MS = 10.0, 30.0  # times the time expected, and this at least, after which an answer is long
+SILENT_STEP, SILENT_FADE = 0.15, 0.002  # weight of a long ending in the belief; part that each other answer takes
+SILENT = 0.3  # belief from which a key's line no longer waits for a load till its client gives up
+LINE_TIMES, LINE_AIMS = 8.0, 1.5  # times the time expected, times its aim: how long it waits then
 # -- Health
 BACKOFF_MS, BACKOFF_MAX_MS = 500.0, 8_000.0  # first and longest ejection; doubles with failures in a row
 FULL_MS = 150.0  # an engine that turned a query away is left alone for this long
@@ -149,7 +154,7 @@
         self.count, self.arrived_at, self.gap = 0, -math.inf, TICK_MS
         self.wake_at, self.surveyed_at, self.unseen, self.distrust = -math.inf, -math.inf, True, False
         self.mean_others = self.mean_load = self.mean_slow = 0.0
-        self.credit = 0.0
+        self.credit = self.silence = 0.0
         self.now = -math.inf
         self.actions: list[api.Action] = []
         self.handlers = {
@@ -377,7 +382,7 @@
         memory = round(memory) if self.limits.set_memory else 0
         attempt = _Attempt(engine, self.now, self._expected(request), memory)
         self._terms(request, self._priority(request), attempt.memory)
-        self.actions.append(api.Send(request.id, engine.id))
+        self.actions.append(api.Send(request.id, engine.id, self._line_wait(request, attempt.expected)))
         if request.sent and self.rules.extra_window_ms is not None:
             self.extra.append(self.now)
         request.out[request.sent] = attempt
@@ -393,6 +398,24 @@
             engine.loads[request.group] += 1
         return True
 
+    def _line_wait(self, request: _Request, expected: float) -> float | None:
+        """How long the line of its key waits for a query; None: until its client gives up.
+
+        Guards a line where answers are lost: all behind one that never comes would be late with it. Where none are
+        lost a slow load is let run: what is cut may have run and can't be tried again.
+        """
+        if request.key is None or self.silence < SILENT:
+            return None
+        return round(max(LINE_TIMES * max(expected, SILENT_LEAST_MS), LINE_AIMS * (self._aim(request) - request.at)))
+
+    def _hear(self, attempt: _Attempt, event: api.AttemptEnded) -> None:
+        """Learn whether what takes long still comes, from attempts that the client saw out."""
+        never, came = event.ending is Ending.TIMEOUT and event.closed, event.ending is Ending.SERVED
+        if event.elapsed_ms > SILENT_TIMES * max(attempt.expected, SILENT_LEAST_MS) and (never or came):
+            self.silence += SILENT_STEP * (never - self.silence)
+        elif came:
+            self.silence *= 1 - SILENT_FADE
+
     def _answer(self, request: _Request) -> None:
         """The one final answer: refused where that is true, failed elsewhere."""
         if request.ended:
@@ -648,6 +671,7 @@
             request.doubt.append((engine, attempt.sent_at))
             if request.key in self.lines and event.ending is not Ending.ERROR:  # doubt: the key rests
                 self.lines[request.key].rest_until = self.now + (self.rules.settle_ms or 0.0)
+        self._hear(attempt, event)
         self._judge(request, attempt, event)
         if event.report:
             self._report(engine, event.report)
--- a/umberusher/handover.py
+++ b/umberusher/handover.py
@@ -55,6 +55,7 @@
     known: list[Notice]
     seen: list[str]
     banned: dict[str, float]
+    fresh: dict[str, float]  # when engines were called back
 
 
 @dataclass(slots=True)
@@ -103,9 +104,9 @@
         if isinstance(known, BoardFault):
             raise ValueError(known.why)
         seen = [str(name) for name in hello["seen"]]
-        banned = {str(name): float(since) for name, since in hello["banned"].items()}
+        banned, fresh = ({str(name): float(ms) for name, ms in hello[part].items()} for part in ("banned", "fresh"))
         listener, channel = [*(socket.socket(fileno=fd) for fd in fds), None][:2]
-        return Taken(listener, channel, link, rest, known, seen, banned)
+        return Taken(listener, channel, link, rest, known, seen, banned, fresh)
     except (FileNotFoundError, ConnectionRefusedError):  # nobody there; a file may lie there still
         link.close()
         return None
--- a/umberusher/stages/route.py
+++ b/umberusher/stages/route.py
@@ -119,6 +119,13 @@
         self.on_ban(engine, self.banned[engine])
         return True
 
+    def freshen(self, engine: str, fresh_ms: float) -> None:
+        """An engine was called back at that time, as another process tells: it has started no sooner."""
+        member = self.members.get(engine)
+        if member and fresh_ms > member.fresh_ms:
+            member.fresh_ms = fresh_ms
+            self.post(api.EngineList((self._laid(member),)))
+
     def unban(self, engine: str) -> bool:
         """Put an engine back as the board tells of it now; False where it was never listed."""
         since = self.banned.pop(engine, None)
