--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -236,6 +236,8 @@
     rig.expect(engine, b"REQ")
     rig.later(800)
     assert rig.broker.loop.running
+    other.sock.send(execute(9, {"method": "lookup", "rid": "9" * 16, "budget": "900"}, b"select 1"))
+    assert b"backoff" in rig.answer(other)  # none should come any more
     engine.sock.send(f"{rid} HIT count=1 6\r\na\t1\t2\n\r\n".encode())
     assert b"a\t1\t2\n" in rig.answer(other)
     rig.later(200)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -314,3 +314,21 @@
     assert isinstance(found, str)
     for sock in [server, *links]:
         sock.close()
+
+
+def test_a_successor_that_is_told_to_end_before_it_accepts_leaves_the_listener(rig, tmp_path):
+    made, new = upgraded(rig, tmp_path, accepts=False)
+    new.stop()
+    new.loop.running = True
+    made.later(1000 * broker.FRESH_S + 500)
+    assert not new.serving and not made.broker.front.held and not new.loop.running
+
+
+def test_a_broker_that_is_told_to_end_waits_for_a_call_that_is_with_the_kernel(rig):
+    made = rig(1)
+    client, rid, engine = made.begun()
+    engine.sock.send(f"{rid} HIT count=1 6\r\na\t1\t2\n\r\n".encode())
+    made.answer(client)
+    assert made.broker.front.idle
+    client.sock.send(b"\0\0\1")
+    assert not made.broker.front.idle
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -31,6 +31,7 @@
 ENGINE_PART = 0.3  # of the others, those kept for engines
 SWEEP_MS = 100.0
 TIGHT_PART, FULL_PART = 0.75, 0.92  # of the memory limit, above which little more is taken, and nothing
+CALLS_S = 0.7  # after SIGTERM, in which calls are still taken
 LINGER_S = 1.0  # after SIGTERM new requests go on coming for 0.6 s
 LEAVE_S = 5.0  # after SIGTERM a process with a successor has the longest deadline, at most this, and 0.7 s
 LEAVE_OPEN_S, LEAVE_LAST_S = 0.25, 0.45  # beyond that time: when what is open is ended, and when the process ends
@@ -56,6 +57,7 @@
         self.queue: deque[api.Event] = deque()
         self.pumping = False
         self.stopping_at: float | None = None
+        self.told = False  # the log has the word of the end
         self.crowd: int | None = None  # most requests that were open since memory became short
         limits = config.settings.limits
         descriptors = config.sockets - RESERVED
@@ -260,7 +262,7 @@
         self.door.sweep()
         self.send.sweep()
         self._share()
-        if not self.serving:
+        if not self.serving and self.stopping_at is None:  # one that is about to end leaves the listener where it is
             self._come_in()
         if self.stopping_at is not None and self._ended(self.clock() - self.stopping_at):
             self.loop.running = False
@@ -268,9 +270,15 @@
     def _ended(self, passed: float) -> bool:
         """Whether this process ends now, so long after SIGTERM."""
         longest = max(item.deadline_ms for item in self.config.settings.classes) / 1000
+        if not self.told:
+            self.told = True
+            log.info("told to end: %d calls are open, a successor %s", self.book.in_flight,
+                     "accepts" if self.handover.handed_over else "is not there")
         self.leaving = self.leaving or self.handover.handed_over
         if self.leaving:
             return self._leave(passed - min(longest, LEAVE_S))
+        # Guards calls that come though none should come any more: they are refused, not lost at the end.
+        self.admit.tight = self.admit.tight or passed > CALLS_S
         # A client that takes no answers must not keep a broker from its end: after the longest deadline it goes.
         return passed > LINGER_S + longest or (passed > LINGER_S and self.front.idle)
 
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -410,8 +410,8 @@
 
     @property
     def idle(self) -> bool:
-        """No call is open and all answers are with the kernel."""
-        return all(not c.open and c.conn.idle for c in self.clients)
+        """No call is open, none waits with the kernel, and all answers are with it."""
+        return all(not c.open and c.conn.quiet() for c in self.clients)
 
     def close(self) -> None:
         """Close the listener and all clients."""
