--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -332,3 +332,14 @@
     assert made.broker.front.idle
     client.sock.send(b"\0\0\1")
     assert not made.broker.front.idle
+
+
+def test_news_that_one_process_hears_count_in_both(rig, tmp_path):
+    made = rig(3, str(tmp_path / "s"))
+    new = made.successor()
+    new.route.take(made.notice(("s-0", "s-0", "DELETED")))  # which the old one never hears
+    new.route.take(made.notice(("s-1", "s-1", "DRAINING")))
+    made.until(lambda: made.broker.route.rev == new.route.rev)
+    assert "s-0" not in made.broker.route.members and made.broker.route.find("s-1") is None
+    made.broker.route.take(made.notice(("s-2", "s-2", "DRAINING")))
+    made.until(lambda: new.route.find("s-2") is None)
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -78,9 +78,9 @@
         self.board = NoticeBoard(self.loop, config.board, lambda: self.route.rev, self.route.take)
         self.door = Door(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.ban, self.route.unban))
         self.handover = Handover(self.loop, path, Side(
-            self._hello, lambda: self.front.listener, self._use, self._ban, lambda: self.front.clients, self.front.come,
+            self._hello, lambda: self.front.listener, self._use, self._known, self.route.take, self._ban, lambda: self.front.clients, self.front.come,
             self._hold))
-        self.route.on_ban = self.handover.tell_ban
+        self.route.on_ban, self.route.on_news = self.handover.tell_ban, self.handover.tell_news
         self.carry: dict[type, Callable[..., None]] = {
             api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self.book.refuse,
             api.Fail: self.book.fail, api.Probe: lambda a: self.send.probe(a.engine),
@@ -201,10 +201,11 @@
 
     # -- For the peers of an upgrade
 
+    def _known(self) -> dict[str, Any]:
+        return document(self.route.rev, ((each.told, each.address) for each in self.route.members.values()))
+
     def _hello(self) -> dict[str, Any]:
-        members = self.route.members.values()
-        return {"known": document(self.route.rev, ((member.told, member.address) for member in members)),
-                "seen": list(self.route.seen), "banned": self.route.banned,
+        return {"known": self._known(), "seen": list(self.route.seen), "banned": self.route.banned,
                 "fresh": {name: member.fresh_ms for name, member in self.route.members.items() if member.fresh_ms}}
 
     def _use(self) -> Use:
--- a/umberusher/handover.py
+++ b/umberusher/handover.py
@@ -1,7 +1,8 @@
 """Handover: an old process and its successor act as one broker, linked by a Unix socket in ``$TMPDIR``.
 
 The old one sends one byte that carries the clients' listener and one end of a channel, then ``hello``; after that each
-side sends a JSON line a message: ``ready`` (the successor accepts from now on), ``ban`` and ``use``. While the old one
+side sends a JSON line a message: ``ready`` (the successor accepts from now on), ``known`` (a list newer than the last),
+``ban`` and ``use``. While the old one
 leaves, each packet of the channel carries one client's connection; ``answer`` brings what is to be written there,
 ``leave`` tells that a client waits no more. Nothing that goes wrong here may cost service: every fault is one log line.
 """
@@ -65,6 +66,8 @@
     hello: Callable[[], dict[str, Any]]
     listener: Callable[[], socket.socket | None]
     use: Callable[[], Use]
+    known: Callable[[], dict[str, Any]]
+    news: Callable[[Notice], None]
     ban: Callable[[str, float | None], None]
     clients: Callable[[], Iterable[Client]]  # the connections that may be passed on
     come: Callable[[socket.socket, list[int], Callable[[int], None]], Client]  # one that was
@@ -210,6 +213,12 @@
         if "use" in message:
             memory, clients, engines = message["use"]
             self.use = Use(float(memory), int(clients), int(engines))
+        if "known" in message:
+            known = notices(message["known"], 0)
+            if isinstance(known, BoardFault):
+                raise ValueError(known.why)
+            for notice in known:
+                self.owner.side.news(notice)
         if "ban" in message:
             engine, since = message["ban"]
             self.owner.source = self
@@ -366,6 +375,14 @@
         for peer in [each for each in self.peers if each is not self.source]:
             peer.tell(ban=[engine, since])
 
+    def tell_news(self) -> None:
+        """The list is newer. Guards drains: a board that has moved or fallen silent for one process may tell another.
+
+        It is told whole, so that nothing is missing whatever the other has heard; what is no news there ends there.
+        """
+        for peer in self.peers:
+            peer.tell(known=self.side.known())
+
     def others(self) -> Use:
         """What all other processes of this broker hold."""
         total = Use()
--- a/umberusher/stages/route.py
+++ b/umberusher/stages/route.py
@@ -37,6 +37,7 @@
         self.rev = 0
         self.on_closed: Callable[[Member], None] = lambda member: None  # nothing new may go there
         self.on_moved: Callable[[Member], None] = lambda member: None  # its connections are not to be used again
+        self.on_news: Callable[[], None] = lambda: None  # the list is newer than it was
         self.on_ban: Callable[[str, float | None], None] = lambda engine, since: None  # a ban has begun or ended
 
     def take(self, notice: Notice) -> None:
@@ -57,6 +58,7 @@
         self.post(api.EngineList(heard, complete=notice.complete))
         for member in closed:
             self.on_closed(member)
+        self.on_news()
 
     def _apply(self, entry: api.EngineEntry, address: tuple[str, int], closed: list[Member]) -> api.EngineEntry:
         """Take one entry; gives it as it counts here."""
