--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -206,3 +206,15 @@
     assert len(found.seen) <= route.SEEN_MOST and len(found.banned) <= route.BANS_MOST
     assert "s-0" in found.banned and found.ban("s-0") and not found.ban("s-1") and found.unban("s-0")
     assert taken[0].entries[0].state is EngineState.DRAINING and taken[-1].entries[0].state is EngineState.UP
+
+
+def test_what_comes_after_the_answer_is_dropped(rig):
+    rig = rig()
+    open_door(rig)
+    caller = knock(rig, b"GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+    rig.expect(caller, b"ready")
+    kept, = rig.broker.door.callers
+    kept.server.feed = None  # would fail if it were given anything more
+    caller.sock.send(b"x" * 4096)
+    rig.later(100)
+    assert kept in rig.broker.door.callers and not len(kept.conn.inbound)
--- a/umberusher/admin.py
+++ b/umberusher/admin.py
@@ -43,8 +43,11 @@
 
     def _data(self) -> None:
         self.used_ms, self.spoke = self.door.now_ms(), True
-        found = self.server.feed(self.conn.inbound.take(len(self.conn.inbound)))
-        if self.answered or found is None:  # after the answer all is read and dropped until the caller closes
+        data = self.conn.inbound.take(len(self.conn.inbound))
+        if self.answered:  # all is dropped until the caller closes: kept, it would fill the memory
+            return
+        found = self.server.feed(data)
+        if found is None:
             return
         self.answered = True
         status, text, more = self.door.carry_out(found)
