--- a/tests/rig.py
+++ b/tests/rig.py
@@ -117,7 +117,7 @@
     def client(self) -> Peer:
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
-        sock.connect(self.broker.front.listener.getsockname())
+        sock.connect(self.broker.front.listener.sock.getsockname())
         return self.keep(Peer(sock))
 
     def ask(self, client: Peer, method: str = "lookup", rid: str = "", **more) -> str:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -22,7 +22,7 @@
 
 
 def knock(rig: Rig, data: bytes = b""):
-    sock = socket.create_connection(rig.broker.door.listener.getsockname())
+    sock = socket.create_connection(rig.broker.door.listener.sock.getsockname())
     sock.send(data)
     return rig.keep(Peer(sock))
 
--- a/umberusher/admin.py
+++ b/umberusher/admin.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import errno
 import logging
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from umberusher.net.connection import Connection, State
-from umberusher.net.loop import READ, Coroutine, Loop, Wait
+from umberusher.net.listener import Listener
+from umberusher.net.loop import Loop
 from umberusher.protocol.ops import BadCall, Call, OpsServer
 from umberusher.stages.take_in import Written
 
@@ -18,7 +18,6 @@
 ACCEPTS = 16  # in one go
 INBOUND, OUTBOUND = 16_384, 1 << 18
 CALLER_MS = 3_000.0  # for a whole call, and for the caller to take its answer
-PAUSE_MS = 20.0  # rest of the listener where the machine has no descriptor
 STATS_KIND = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -67,37 +66,14 @@
     def __init__(self, loop: Loop, now_ms: Callable[[], float], desk: Desk) -> None:
         self.loop, self.now_ms, self.desk = loop, now_ms, desk
         self.callers: dict[Caller, None] = {}  # in the order in which they came
-        self.listener: socket.socket | None = None
+        self.listener: Listener | None = None
 
     def listen(self, address: tuple[str, int]) -> None:
         """Open the listener; OSError where the address can't be had."""
         sock = socket.create_server(address, backlog=128)
-        sock.setblocking(False)
-        self.listener = sock
         self.loop.hurry(sock.fileno())
-        self.loop.spawn(self._accept(sock))
-
-    def _accept(self, sock: socket.socket) -> Coroutine:
-        events = READ
-        while True:
-            yield Wait(sock.fileno(), events)
-            events = READ
-            for _ in range(ACCEPTS):
-                try:
-                    caller, _ = sock.accept()
-                except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                    break
-                except OSError as error:
-                    log.warning("door: accept: %s", errno.errorcode.get(error.errno, error.errno))
-                    self._evict()
-                    events = 0
-                    self.loop.call_later(PAUSE_MS, self._listen_again)
-                    break
-                self._admit(caller)
-
-    def _listen_again(self) -> None:
-        if self.listener:
-            self.loop.watch(self.listener.fileno(), READ)
+        self.listener = Listener(self.loop, sock, ACCEPTS, self._admit, self._evict)
+        self.listener.hold(False)
 
     def _admit(self, sock: socket.socket) -> None:
         if len(self.callers) >= CALLERS_MOST:
@@ -149,7 +125,6 @@
     def close(self) -> None:
         """Close the listener and all callers."""
         if self.listener:
-            self.loop.forget(self.listener.fileno())
             self.listener.close()
             self.listener = None
         for caller in list(self.callers):
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -78,9 +78,9 @@
         self.board = NoticeBoard(self.loop, config.board, lambda: self.route.rev, self.route.take)
         self.door = Door(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.ban, self.route.unban))
         self.handover = Handover(self.loop, path, Side(
-            hello=self._hello, listener=lambda: self.front.listener, use=self._use, known=self._known,
-            news=self.route.take, ban=self._ban, clients=lambda: self.front.clients, come=self.front.come,
-            hold=self._hold))
+            hello=self._hello, listener=lambda: self.front.listener and self.front.listener.sock, use=self._use,
+            known=self._known, news=self.route.take, ban=self._ban, clients=lambda: self.front.clients,
+            come=self.front.come, hold=self._hold))
         self.route.on_ban, self.route.on_news = self.handover.tell_ban, self.handover.tell_news
         self.carry: dict[type, Callable[..., None]] = {
             api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self.book.refuse,
--- a/umberusher/handover.py
+++ b/umberusher/handover.py
@@ -21,6 +21,7 @@
 from typing import Any
 
 from umberusher.net.connection import Connection, Raw, State
+from umberusher.net.listener import Listener
 from umberusher.net.loop import READ, Coroutine, Loop, Wait
 from umberusher.protocol.board import BoardFault, Notice, notices
 from umberusher.stages.take_in import Client
@@ -256,7 +257,7 @@
     def __init__(self, loop: Loop, path: str | None, side: Side) -> None:
         self.loop, self.path, self.side = loop, path, side
         self.peers: list[Peer] = []
-        self.listener: socket.socket | None = None
+        self.listener: Listener | None = None
         self.source: Peer | None = None  # whose word is being carried out: it need not be told
 
     # -- A successor may come
@@ -277,19 +278,9 @@
             return
         finally:
             os.umask(mask)
-        sock.setblocking(False)
-        self.listener = sock
         self.loop.hurry(sock.fileno())
-        self.loop.spawn(self._accept(sock))
-
-    def _accept(self, sock: socket.socket) -> Coroutine:
-        while True:
-            yield Wait(sock.fileno(), READ)
-            try:
-                link, _ = sock.accept()
-            except OSError:
-                continue
-            self._greet(link)
+        self.listener = Listener(self.loop, sock, PEERS_MOST, self._greet, lambda: None)
+        self.listener.hold(False)
 
     def _greet(self, link: socket.socket) -> None:
         listener = self.side.listener()
@@ -320,7 +311,6 @@
 
     def _stop_listening(self) -> None:
         if self.listener:
-            self.loop.forget(self.listener.fileno())
             self.listener.close()
             self.listener = None
 
--- /dev/null
+++ b/umberusher/net/listener.py
@@ -0,0 +1,61 @@
+"""Accepting from one listening socket."""
+
+from __future__ import annotations
+
+import errno
+import logging
+import socket
+from collections.abc import Callable
+
+from umberusher.net.loop import READ, Coroutine, Loop, Wait
+
+log = logging.getLogger(__name__)
+PAUSE_MS = 20.0  # rest when descriptors have run out
+
+
+class Listener:
+    """Hands on what a listening socket accepts, ``most`` at a time so that open connections get their turn."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, most: int, take: Callable[[socket.socket], None],
+                 short: Callable[[], object]) -> None:
+        self.loop, self.sock, self.most, self.take, self.short = loop, sock, most, take, short
+        self.held = True  # accepts nothing
+        sock.setblocking(False)
+
+    def hold(self, held: bool) -> None:
+        """Accept nothing for now, or go on; the socket stays open, for another process may share its queue."""
+        if held is self.held:
+            return
+        self.held = held
+        if held:
+            self.loop.forget(self.sock.fileno())
+        else:
+            self.loop.spawn(self._accept())
+
+    def _accept(self) -> Coroutine:
+        events = READ
+        while True:
+            yield Wait(self.sock.fileno(), events)
+            events = READ
+            for _ in range(self.most):
+                try:
+                    accepted, _ = self.sock.accept()
+                except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                    break
+                except OSError as error:
+                    # Guards against a full table of descriptors: the listener rests instead of spinning or dying.
+                    log.warning("accept: %s", errno.errorcode.get(error.errno, error.errno))
+                    self.short()
+                    events = 0
+                    self.loop.call_later(PAUSE_MS, self._again)
+                    break
+                self.take(accepted)
+
+    def _again(self) -> None:
+        if not self.held:
+            self.loop.watch(self.sock.fileno(), READ)
+
+    def close(self) -> None:
+        """Give the socket back."""
+        self.hold(True)
+        self.sock.close()
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import logging
 import re
 import socket
@@ -11,7 +10,8 @@
 from umberusher import interface as api
 from umberusher.net import connection
 from umberusher.net.connection import Connection, Raw, State
-from umberusher.net.loop import READ, Coroutine, Loop, Wait
+from umberusher.net.listener import Listener
+from umberusher.net.loop import Loop
 from umberusher.protocol import statement, thrift
 from umberusher.stages.admit import Admit
 from umberusher.ticket import Ticket
@@ -29,7 +29,6 @@
 REST_MS = 1_000.0  # quiet for this long, a connection gives its buffers back
 ACCEPTS = 64  # connections accepted in one go, so that open ones get their turn
 LEAST = 16  # connections that a process may have though others of its broker hold all the rest
-PAUSE_MS = 20.0  # rest of the listener when descriptors have run out
 RID = re.compile(r"[0-9a-fA-F]{16}")
 NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,20})?([eE][+-]?[0-9]{1,2})?")
 SPARE_MS = 1_000.0  # by which a budget may pass its class's deadline
@@ -305,8 +304,7 @@
         self.large_most = max(int(memory_mb * 1e6 * LARGE_PART / self.frame_most), 1)
         self.large: set[Client] = set()  # with more than LARGE bytes of an unfinished call
         self.clients: set[Client] = set()
-        self.listener: socket.socket | None = None
-        self.held = True  # accepts nothing
+        self.listener: Listener | None = None
         self.elsewhere = 0  # clients of other processes of this broker
 
     def listen(self, address: tuple[str, int]) -> None:
@@ -325,41 +323,17 @@
 
     def adopt(self, sock: socket.socket) -> None:
         """Take a listener that is open already; nothing is accepted from it yet."""
-        sock.setblocking(False)
-        self.listener = sock
+        self.listener = Listener(self.loop, sock, ACCEPTS, self._admit_client, self._evict)
 
     def hold(self, held: bool) -> None:
-        """Accept nothing for now, or go on; the listener stays open, for another process shares its queue."""
-        if self.listener is None or held is self.held:
-            return
-        self.held = held
-        if held:
-            self.loop.forget(self.listener.fileno())
-        else:
-            self.loop.spawn(self._accept(self.listener))
-
-    def _accept(self, sock: socket.socket) -> Coroutine:
-        events = READ
-        while True:
-            yield Wait(sock.fileno(), events)
-            events = READ
-            for _ in range(ACCEPTS):
-                try:
-                    client, _ = sock.accept()
-                except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                    break
-                except OSError as error:
-                    # Guards against a full table of descriptors: the listener rests instead of spinning or dying.
-                    log.warning("accept: %s", errno.errorcode.get(error.errno, error.errno))
-                    self._evict()
-                    events = 0
-                    self.loop.call_later(PAUSE_MS, self._listen_again)
-                    break
-                self._admit_client(client)
-
-    def _listen_again(self) -> None:
-        if self.listener and not self.held:
-            self.loop.watch(self.listener.fileno(), READ)
+        """Accept nothing for now, or go on."""
+        if self.listener:
+            self.listener.hold(held)
+
+    @property
+    def held(self) -> bool:
+        """Whether nothing is accepted."""
+        return self.listener is None or self.listener.held
 
     def _admit_client(self, sock: socket.socket) -> None:
         if len(self.clients) >= max(self.most - self.elsewhere, min(self.most, LEAST)) and not self._evict():
@@ -416,7 +390,6 @@
     def close(self) -> None:
         """Close the listener and all clients."""
         if self.listener:
-            self.loop.forget(self.listener.fileno())
             self.listener.close()
             self.listener = None
         for client in list(self.clients):
