--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -343,3 +343,9 @@
     assert "s-0" not in made.broker.route.members and made.broker.route.find("s-1") is None
     made.broker.route.take(made.notice(("s-2", "s-2", "DRAINING")))
     made.until(lambda: new.route.find("s-2") is None)
+
+
+def test_a_path_that_can_not_be_laid_over_leaves_nothing_behind(rig, tmp_path):
+    (tmp_path / "s" / "in").mkdir(parents=True)  # a folder stands where the socket would
+    made = rig(1, str(tmp_path / "s"))
+    assert made.broker.ready() and made.broker.handover.listener is None and os.listdir(tmp_path) == ["s"]
--- a/umberusher/handover.py
+++ b/umberusher/handover.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import itertools
 import json
 import logging
@@ -274,6 +275,8 @@
             os.rename(made, self.path)
         except OSError as error:  # also a path that is too long for a socket
             sock.close()
+            with contextlib.suppress(OSError):
+                os.unlink(made)
             log.warning("handover: no upgrade without a break, %s: %s", self.path, error)
             return
         finally:
@@ -396,10 +399,8 @@
         own = self.listener is not None
         self._stop_listening()
         if own:
-            try:
+            with contextlib.suppress(OSError):
                 os.unlink(self.path)
-            except OSError:
-                pass
         for peer in list(self.peers):
             peer.conn.on_closed = lambda why: None
             peer.conn.close("the broker ends")
