--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -14,6 +14,7 @@
 import pytest
 
 from umberusher import cli, config
+from umberusher.commands import serve
 
 CLASSES = [
     {"name": "lookup", "aim_ms": 500.0, "deadline_ms": 2500.0, "effect": "safe", "points": 1.0, "late_worth": 0.1},
@@ -94,15 +95,15 @@
     now, told = [0.0], []
     handler = logging.Handler()
     handler.emit = lambda record: told.append(record.getMessage())
-    handler.addFilter(cli.Sparing(lambda: now[0]))
+    handler.addFilter(serve.Sparing(lambda: now[0]))
     log = logging.Logger("test")
     log.addHandler(handler)
     for number in range(100):
         log.warning("call %d", number)
     log.warning("another")
-    assert len(told) == cli.LINES + 1
+    assert len(told) == serve.LINES + 1
     now[0] = 1.0
     for number in range(100, 200):
         log.warning("call %d", number)
-    assert told[cli.LINES + 1] == f"call 100 ({100 - cli.LINES} more like it were left out)"
-    assert len(told) == 2 * cli.LINES + 1
+    assert told[serve.LINES + 1] == f"call 100 ({100 - serve.LINES} more like it were left out)"
+    assert len(told) == 2 * serve.LINES + 1
--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -1,105 +1,105 @@
-"""The command line."""
+"""The command line: arguments to a command's module, which is imported only when it is called.
+
+Owns the names of commands and options. What a broker doesn't need must not come into its memory: so nothing but the
+standard library is imported here, and the options of the tools' commands are plain data.
+"""
 
 from __future__ import annotations
 
 import argparse
-import logging
-import os
-import signal
+import importlib
 import sys
-import time
-from collections.abc import Callable
-
-from umberusher.broker import Broker
-from umberusher.config import Config, ConfigError, load
-from umberusher.handover import socket_path
-
-LINES, KINDS = 20, 256  # log lines of one kind a second; kinds that are counted
-
-class Sparing(logging.Filter):
-    """Lets few lines of one kind through a second and counts the rest.
-
-    Guards against clients that are turned away by the hundred: each line costs more than the refusal that it tells of.
-    """
-
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
-        super().__init__()
-        self.clock = clock
-        self.seen: dict[str, tuple[int, int]] = {}  # by text without its figures: second, lines in it
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        """Whether the line is written."""
-        now, kind = int(self.clock()), record.msg
-        second, count = self.seen.get(kind, (now, 0))
-        if second != now:
-            if count > LINES:
-                record.msg, record.args = f"{record.getMessage()} ({count - LINES} more like it were left out)", ()
-            second, count = now, 0
-        if len(self.seen) < KINDS or kind in self.seen:
-            self.seen[kind] = second, count + 1
-        return count < LINES
-
-
-def _config() -> Config:
-    return load(os.environ)
 
-
-def serve(args: argparse.Namespace) -> int:
-    """Run one broker until SIGTERM; SIGHUP has the configuration read again."""
-    # Guards against a SIGHUP before the broker is there: its default would end the process. The file is read after.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    config = _config()
-    logging.basicConfig(stream=sys.stderr, level=args.log_level.upper(),
-                        format="%(asctime)s %(levelname)s %(name)s: %(message)s")
-    for handler in logging.getLogger().handlers:
-        handler.addFilter(Sparing())
-    broker = Broker(config, reread=_config, path=socket_path(os.environ, config.listen))
-    signal.signal(signal.SIGHUP, lambda *_: broker.reload())
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: broker.stop())
-    signal.signal(signal.SIGPIPE, signal.SIG_IGN)
-    try:
-        broker.run()
-    except OSError as error:
-        print(f"umberusher: {config.listen[0]}:{config.listen[1]}: {error.strerror}", file=sys.stderr)
-        return 1
-    return 0
-
-
-def version(_: argparse.Namespace) -> int:
-    """Print the version."""
-    from importlib import metadata  # costs 4 MB, which a broker would hold for good
-    try:
-        print(f"umberusher {metadata.version('umberusher')}")
-    except metadata.PackageNotFoundError:  # run from a checkout
-        from umberusher import __version__
-        print(f"umberusher {__version__}")
-    return 0
-
-
-def check_config(_: argparse.Namespace) -> int:
-    """Read the configuration and say what it holds."""
-    config = _config()
-    engines = {entry.engine for notice in config.known for entry in notice.entries}
-    print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, {len(engines)} engines known, "
-          f"{f'door at {config.admin[0]}:{config.admin[1]}' if config.admin else 'no door'}, "
-          f"{len(config.settings.classes)} classes, {config.memory_mb:g} MB, {config.sockets} descriptors")
-    return 0
+from umberusher.faults import UsageFault
+
+Option = tuple[tuple[str, ...], dict[str, object]]
+LAYOUTS = ("google-2011-task-events", "google-2011-machine-events", "alibaba-2018-batch-task", "azure-functions-2019")
+
+
+def _o(*names: str, **more: object) -> Option:
+    return names, more
+
+
+_LOG = _o("--log-format", default="text", choices=["text", "json"], help="form of the log on standard error")
+_FILES = _o("files", nargs="+", metavar="FILE")
+_PLAN = _o("plan", metavar="PLAN")
+_LAYOUT = _o("--layout", required=True, choices=LAYOUTS)
+_READING = (
+    _o("--strict", action="store_true", help="end at the first defect"),
+    _o("--max-rejects", type=float, default=0.05, metavar="SHARE", help="exit 1 over this share of rejects (0.05)"),
+    _o("--reorder-s", type=float, default=10.0, metavar="S", help="rows this late are put in place (10)"))
+_PLAY = (
+    _o("--clock", choices=["wall", "step"], default="step"), _o("--seed", type=int, default=1),
+    _o("--nodes", type=int, default=7, help="stand-in query nodes (7); a plan with machines brings its own"),
+    _o("--brokers", type=int, default=2), _o("--faults", metavar="F.star", help="script of faults"),
+    _o("--retries", type=int, default=1, choices=[0, 1], help="a client's own tries after the first (1)"),
+    _o("--leave", type=float, default=0.0, metavar="SHARE", help="share of clients that leave early (0)"))
+
+COMMANDS: dict[str, tuple[str, str, tuple[Option, ...]]] = {
+    "serve": ("serve", "run one broker until SIGTERM", (
+        _o("--log-level", default="info", choices=["debug", "info", "warning", "error"]),)),
+    "version": ("version", "print the version", ()),
+    "check-config": ("check_config", "read the configuration and say what it holds", ()),
+    "demo": ("demo", "a short example replay; needs no configuration", (
+        _o("--report", default="umberusher-demo", metavar="DIR"), _LOG)),
+}
+TRACE: dict[str, tuple[str, str, tuple[Option, ...]]] = {
+    "layouts": ("trace_layouts", "the layouts that can be read, column for column", ()),
+    "check": ("trace_check", "read files and report their defects", (
+        _LAYOUT, _o("--mapping", metavar="M.star"), _o("--json", metavar="OUT"), *_READING, _LOG, _FILES)),
+    "plan": ("trace_plan", "compile files and a mapping into a plan", (
+        _LAYOUT, _o("--mapping", required=True, metavar="M.star"), _o("--seed", type=int, default=1),
+        _o("-o", "--output", required=True, metavar="PLAN"),
+        _o("--window", metavar="FROM:TO", help="seconds of the trace's time"),
+        _o("--rate", type=float, metavar="R", help="requests a second that the plan is thinned or stretched to"),
+        _o("--thin", type=float, default=1.0, metavar="SHARE", help="share of jobs that stay, whole jobs by hash"),
+        _o("--stretch", type=float, default=1.0, help="times that time is longer"),
+        _o("--machines", nargs="*", default=[], metavar="FILE", help="google-2011-machine-events files"),
+        _o("--machine-mapping", metavar="M.star", help="gives machine(row); else all are of the small kind"),
+        *_READING, _LOG, _FILES)),
+    "stats": ("trace_stats", "rates, burstiness, class mix of a plan", (
+        _PLAN, _o("--plots", metavar="DIR"), _o("--json", metavar="OUT"))),
+    "replay": ("trace_replay", "play a plan through real brokers", (
+        _PLAN, *_PLAY, _o("--json", metavar="OUT"), _o("--report", metavar="DIR"),
+        _o("--wire-log", metavar="OUT", help="what crossed the sockets, a JSON line each"), _LOG)),
+    "compare": ("trace_compare", "play a plan under several settings, in parallel", (
+        _PLAN, *_PLAY, _o("--vary", action="append", required=True, metavar="NAME=A,B,...",
+                          help="seed, nodes, brokers, retries, leave or faults; may be given again"),
+        _o("--jobs", type=int, default=0, help="processes at once (cores)"), _o("--json", metavar="OUT"), _LOG)),
+    "make": ("trace_make", "write a made-up trace in the google-2011-task-events layout", (
+        _o("--pattern", default="steady", choices=["steady", "flash-crowd", "heavy-tail", "diurnal", "node-loss"]),
+        _o("--seconds", type=float, default=600.0), _o("--rate", type=float, default=150.0),
+        _o("--seed", type=int, default=1), _o("--rows", type=int, default=0, help="stop at so many rows"),
+        _o("-o", "--output", required=True, metavar="FILE"),
+        _o("--machines", metavar="FILE", help="also write machine_events for the pattern"))),
+}
+
+
+def _add(commands: argparse._SubParsersAction, table: dict[str, tuple[str, str, tuple[Option, ...]]]) -> None:
+    for name, (module, told, options) in table.items():
+        parser = commands.add_parser(name, help=told, description=told)
+        for names, more in options:
+            parser.add_argument(*names, **more)
+        parser.set_defaults(module=module)
 
 
 def main(argv: list[str] | None = None) -> int:
-    """Parse the command line and run."""
+    """Parse the command line and run; 2 where it or a configuration can't be used."""
     parser = argparse.ArgumentParser(prog="umberusher", description="A broker for queries on a fleet of engines.")
     commands = parser.add_subparsers(dest="command", required=True)
-    run = commands.add_parser("serve", help="run one broker until SIGTERM")
-    run.add_argument("--log-level", default="info", choices=["debug", "info", "warning", "error"])
-    run.set_defaults(call=serve)
-    commands.add_parser("version", help="print the version").set_defaults(call=version)
-    commands.add_parser("check-config", help="read the configuration and say what it holds").set_defaults(
-        call=check_config)
+    _add(commands, COMMANDS)
+    trace = commands.add_parser("trace", help="read, compile and replay published cluster traces")
+    _add(trace.add_subparsers(dest="sub", required=True), TRACE)
     args = parser.parse_args(argv)
     try:
-        return args.call(args)
-    except ConfigError as error:
-        print(f"umberusher: configuration: {error}", file=sys.stderr)
+        module = importlib.import_module(f"umberusher.commands.{args.module}")
+    except ModuleNotFoundError as error:
+        if (error.name or "").startswith("umberusher"):
+            raise
+        print(f"umberusher: {error.name} is not installed: this command needs umberusher[tools]", file=sys.stderr)
+        return 2
+    try:
+        return module.run(args)
+    except UsageFault as error:
+        print(f"umberusher: {error.about}{error}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/umberusher/commands/tools.py
@@ -0,0 +1,61 @@
+"""What the tools' commands share: the log by structlog, progress by rich, JSON files. Never imported by ``serve``."""
+
+from __future__ import annotations
+
+import json
+import logging
+import sys
+from pathlib import Path
+from typing import Any
+
+import structlog
+from rich.console import Console
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeElapsedColumn
+from rich.table import Table
+
+from umberusher.faults import UsageFault
+
+out = Console(highlight=False, soft_wrap=True)
+
+
+def log_to(form: str, level: int = logging.INFO) -> Any:
+    """The log on standard error, as text or as a JSON line each."""
+    shown = structlog.processors.JSONRenderer(sort_keys=True) if form == "json" else structlog.dev.ConsoleRenderer(
+        colors=sys.stderr.isatty())
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True), shown],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr))
+    return structlog.get_logger()
+
+
+def progress(told: str) -> Progress:
+    """A bar on standard error, shown only to a terminal."""
+    console = Console(stderr=True)
+    return Progress(TextColumn(told), BarColumn(), MofNCompleteColumn(), TimeElapsedColumn(), console=console,
+                    disable=not console.is_terminal, transient=True)
+
+
+def write_json(path: str | None, value: Any) -> None:
+    """Write a document where one is asked for."""
+    if path:
+        write(path, json.dumps(value, indent=1, sort_keys=True).encode() + b"\n")
+
+
+def write(path: str | Path, data: bytes) -> None:
+    """Write a file; UsageFault where that fails."""
+    try:
+        Path(path).parent.mkdir(parents=True, exist_ok=True)
+        Path(path).write_bytes(data)
+    except OSError as error:
+        raise UsageFault(f"{path}: {error.strerror}") from None
+
+
+def table(title: str, heads: list[str], rows: list[list[Any]]) -> None:
+    """A table on standard output; columns after the first are figures."""
+    made = Table(title=title, title_justify="left")
+    for number, head in enumerate(heads):
+        made.add_column(head, justify="right" if number else "left")
+    for row in rows:
+        made.add_row(*map(str, row))
+    out.print(made)
--- /dev/null
+++ b/umberusher/commands/trace_check.py
@@ -0,0 +1,78 @@
+"""``trace check``: read files and report their defects; with a mapping, also the rows on which it fails."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import time
+
+from umberusher.commands import tools
+from umberusher.faults import UsageFault
+from umberusher.traces.build import Builder, Options
+from umberusher.traces.defects import StrictFault, Tally
+from umberusher.traces.layouts import LAYOUTS
+from umberusher.traces.mapping import Mapping
+from umberusher.traces.reader import Reader
+
+
+def checked_reader(args: argparse.Namespace, layout: str, progress=lambda size: None) -> Reader:
+    """The reader that the options ask for; UsageFault where they make no sense."""
+    if not 0 <= args.max_rejects <= 1:
+        raise UsageFault("--max-rejects: expected a share from 0 to 1")
+    if not 0 <= args.reorder_s <= 86_400:
+        raise UsageFault("--reorder-s: expected seconds from 0 to 86400")
+    return Reader(LAYOUTS[layout], reorder_s=args.reorder_s, strict=args.strict, progress=progress)
+
+
+def show(tally: Tally) -> None:
+    """Print a tally's counts and first places."""
+    tools.out.print(f"rows {tally.rows}  kept {tally.kept}  reordered {tally.reordered}  "
+                    f"rejected {sum(tally.rejected.values())}")
+    if tally.rejected:
+        tools.table("rejected", ["reason", "rows", "first"], [
+            [reason, count, "; ".join(f"{p['file']}:{p['line']} ({p['what']})" for p in tally.examples[reason][:2])]
+            for reason, count in tally.rejected.most_common()])
+
+
+def verdict(tally: Tally, most: float) -> int:
+    """Exit 1 over the stated share of rejects, or where a row is not accounted for."""
+    if not tally.balanced:
+        tools.out.print("fault of the reader: rows are not kept + rejected")
+        return 1
+    if tally.share > most:
+        tools.out.print(f"{100 * tally.share:.2f}% rejected, over the {100 * most:g}% of --max-rejects")
+        return 1
+    return 0
+
+
+def run(args: argparse.Namespace) -> int:
+    """Check; 0 good, 1 too many rejects or a first defect under ``--strict``."""
+    log, begun = tools.log_to(args.log_format), time.monotonic()
+    total = sum(os.path.getsize(path) for path in args.files if os.path.exists(path))
+    with tools.progress("checking") as bar:
+        task, done = bar.add_task("", total=total), [0, 0]
+
+        def at(size: int) -> None:
+            if size < done[1]:
+                done[0] += done[1]
+            done[1] = size
+            bar.update(task, completed=done[0] + size)
+
+        reader = checked_reader(args, args.layout, at)
+        try:
+            if args.mapping:
+                builder = Builder(Mapping.load(args.mapping, None), reader, Options())
+                builder.keep = False
+                builder.read(args.files)
+            else:
+                for _ in reader.rows(args.files):
+                    pass
+        except StrictFault as fault:
+            tools.write_json(args.json, reader.tally.document())
+            tools.out.print(f"{fault}", markup=False)
+            return 1
+    seconds = time.monotonic() - begun
+    log.info("checked", rows=reader.tally.rows, seconds=round(seconds, 2), files=len(args.files))
+    tools.write_json(args.json, reader.tally.document())
+    show(reader.tally)
+    return verdict(reader.tally, args.max_rejects)
--- /dev/null
+++ b/umberusher/commands/trace_layouts.py
@@ -0,0 +1,24 @@
+"""``trace layouts``: the layouts that can be read, column for column."""
+
+from __future__ import annotations
+
+import argparse
+
+from umberusher.commands import tools
+from umberusher.traces.layouts import LAYOUTS
+
+
+def run(_: argparse.Namespace) -> int:
+    """Print them."""
+    for layout in LAYOUTS.values():
+        tools.out.print(f"{layout.name}: {layout.told}", markup=False)
+        for note in layout.notes:
+            tools.out.print(f"  {note}", markup=False)
+        for table in layout.tables:
+            tools.table(table.name, ["column", "type", "unit", "empty", "from", "to"], [
+                [each.name, each.kind, each.unit or "-", "yes" if each.empty else "no",
+                 *(["-", ", ".join(each.words)] if each.words else
+                   ["-" if bound is None else f"{bound:g}" for bound in (each.low, each.high)])]
+                for each in table.columns] + ([[f"1 to {table.repeated}", "int", "invocations", "no", "0", "-"]]
+                                              if table.repeated else []))
+    return 0
--- /dev/null
+++ b/umberusher/commands/trace_plan.py
@@ -0,0 +1,43 @@
+"""``trace plan``: compile files and a mapping into a plan."""
+
+from __future__ import annotations
+
+import argparse
+
+from umberusher.commands import tools
+from umberusher.commands.trace_check import checked_reader, show, verdict
+from umberusher.faults import UsageFault
+from umberusher.replay.site import CLASS_NAMES
+from umberusher.traces.build import Builder, Options, parse_window, read_machines
+from umberusher.traces.defects import StrictFault
+from umberusher.traces.mapping import Mapping
+from umberusher.traces.scripts import Script
+
+
+def run(args: argparse.Namespace) -> int:
+    """Compile; 1 where a defect is not accepted."""
+    log = tools.log_to(args.log_format)
+    for name, low, high in (("rate", 0.001, 1e6), ("thin", 0.0001, 1.0), ("stretch", 0.001, 1000.0)):
+        value = getattr(args, name)
+        if value is not None and not low <= value <= high:
+            raise UsageFault(f"--{name}: expected {low:g} to {high:g}, got {value:g}")
+    options = Options(args.seed, parse_window(args.window) if args.window else None, args.rate, args.thin,
+                      args.stretch)
+    reader = checked_reader(args, args.layout)
+    builder = Builder(Mapping.load(args.mapping, CLASS_NAMES), reader, options)
+    fleet = checked_reader(args, "google-2011-machine-events")
+    try:
+        builder.read(args.files)
+        script = Script.load(args.machine_mapping) if args.machine_mapping else None
+        machines = read_machines(args.machines, fleet, script) if args.machines else []
+    except StrictFault as fault:
+        tools.out.print(f"{fault}", markup=False)
+        return 1
+    plan = builder.plan(args.files, machines)
+    size = plan.save(args.output)
+    log.info("plan written", requests=len(plan), seconds=round(plan.seconds, 1), bytes=size, digest=plan.digest)
+    for tally in (reader.tally, *([fleet.tally] if args.machines else [])):
+        show(tally)
+    for why, count in builder.left_out.most_common():
+        tools.out.print(f"left out: {why}: {count}", markup=False)
+    return max(verdict(reader.tally, args.max_rejects), verdict(fleet.tally, args.max_rejects))
--- a/umberusher/config.py
+++ b/umberusher/config.py
@@ -10,12 +10,15 @@
 
 from umberusher import interface as api
 from umberusher import wire
+from umberusher.faults import UsageFault
 from umberusher.protocol.board import BoardFault, Notice, address, notices
 
 
-class ConfigError(Exception):
+class ConfigError(UsageFault):
     """The configuration can't be used; the text is one line for the operator."""
 
+    about = "configuration: "
+
 
 @dataclass(slots=True)
 class Config:
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -110,23 +110,31 @@
         self._hurried.discard(fd)
         self._parked.pop(fd, None)
 
-    def step(self, longest_ms: float = 1000.0) -> None:
-        """Wait for events or the next timer, then run what is ready."""
+    def next_due(self) -> float | None:
+        """When the next timer runs out, on the loop's clock; None where none is planned."""
         while self._timers and self._timers[0][2].call is None:
             heapq.heappop(self._timers)
             self._off -= 1
-        timeout = longest_ms / 1000.0
-        if self._timers:
-            timeout = min(timeout, max(self._timers[0][0] - self.clock(), 0.0))
+        return self._timers[0][0] if self._timers else None
+
+    def step(self, longest_ms: float = 1000.0) -> None:
+        """Wait for events or the next timer, then run what is ready."""
+        timeout, due = longest_ms / 1000.0, self.next_due()
+        if due is not None:
+            timeout = min(timeout, max(due - self.clock(), 0.0))
         # Guards what is hurried against floods: a round is bounded, and these events never wait for more than one.
         ready = self.epoll.poll(timeout, ROUND)
         if self._hurried:
             ready = self.first.poll(0) + ready
+        self._turn(ready)
+        self._fire()
+
+    def _turn(self, ready: list[tuple[int, int]]) -> None:
+        """Resume what is ready."""
         for fd, events in ready:
             coroutine = self._parked.pop(fd, None)
             if coroutine is not None:  # an earlier one of this round may have closed it
                 self._resume(coroutine, events, fd)
-        self._fire()
 
     def _fire(self) -> None:
         now = self.clock()
--- /dev/null
+++ b/umberusher/traces/scripts.py
@@ -0,0 +1,92 @@
+"""Settings as Starlark scripts: loading, calling, and errors that name file, line and column.
+
+Owns the bounds of a script: no I/O, no imports, a bounded depth, and a bounded number of steps a call, counted by the
+interpreter and not by a clock, so that the same script ends at the same place on any machine.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import starlark
+
+from umberusher.faults import UsageFault
+
+DEPTH = 64  # calls in calls
+LOAD_TICKS, CALL_TICKS = 20_000, 1_000  # of about 1,000 steps each
+_PLACE = re.compile(r"--> (.*?):(\d+):(\d+)")
+
+
+class ScriptFault(UsageFault):
+    """A script failed: where and why, in one line."""
+
+
+def _told(error: starlark.StarlarkError, name: str) -> str:
+    text = str(error)
+    places = [found for found in _PLACE.finditer(text) if found[1] == name]
+    why = next((line.strip() for line in text.splitlines() if line.startswith("error:")), text.strip().splitlines()[0])
+    where = f"{name}:{places[-1][2]}:{places[-1][3]}" if places else name
+    return f"{where}: {why.removeprefix('error:').strip()}"
+
+
+class _Ticks:
+    """Ends an evaluation after so many ticks: guards against loops in loops, which end but not today."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.left = most, most
+
+    def __call__(self) -> bool:
+        self.left -= 1
+        return self.left < 0
+
+
+class Script:
+    """One script, loaded. ``behind`` is added after its text, so that line numbers stay those of the file."""
+
+    def __init__(self, name: str, text: str, *, before: dict[str, Any] | None = None, behind: str = "",
+                 calls: dict[str, Callable[..., Any]] | None = None, values: tuple[str, ...] = ()) -> None:
+        self.name, self.text = name, text
+        self.ticks = _Ticks(LOAD_TICKS)
+        self.options = starlark.EvalOptions(check_cancelled=self.ticks, max_callstack_size=DEPTH)
+        module = starlark.Module()
+        for key, value in (before or {}).items():
+            module[key] = value
+        for key, call in (calls or {}).items():
+            module.add_callable(key, call)
+        try:
+            tree = starlark.parse(name, text + "\n" + behind)
+            starlark.eval_with(self.options, module, tree, starlark.Globals.standard())
+        except starlark.StarlarkError as error:
+            raise ScriptFault(_told(error, name)) from None
+        self.values = {key: module[key] for key in values}
+        self.frozen = module.freeze()
+
+    @classmethod
+    def load(cls, path: str, **more: Any) -> Script:
+        """From a file; ScriptFault where it can't be read or fails."""
+        try:
+            text = Path(path).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            raise ScriptFault(f"{path}: {getattr(error, 'strerror', None) or 'not text'}") from None
+        return cls(Path(path).name, text, **more)
+
+    def has(self, name: str) -> bool:
+        """Whether it defines a function of that name."""
+        return re.search(rf"^def {re.escape(name)}\(", self.text, re.M) is not None
+
+    def get(self, name: str) -> Any:
+        """A value that the script has set; None where it has not."""
+        return self.values.get(name)
+
+    def call(self, name: str, *values: Any) -> Any:
+        """Call one of its functions; ScriptFault where that fails."""
+        self.ticks.left = CALL_TICKS
+        try:
+            return self.frozen.call_with(self.options, name, *values).value
+        except starlark.StarlarkError as error:
+            if self.ticks.left < 0:
+                raise ScriptFault(f"{self.name}: {name} takes too many steps") from None
+            raise ScriptFault(_told(error, self.name)) from None
