--- a/umberusher/commands/tools.py
+++ b/umberusher/commands/tools.py
@@ -15,7 +15,7 @@
 
 from umberusher.faults import UsageFault
 
-out = Console(highlight=False, soft_wrap=True)
+out = Console(highlight=False, soft_wrap=True, width=None if sys.stdout.isatty() else 140)
 
 
 def log_to(form: str, level: int = logging.INFO) -> Any:
--- /dev/null
+++ b/umberusher/commands/trace_replay.py
@@ -0,0 +1,73 @@
+"""``trace replay``: play a plan through real brokers and score it."""
+
+from __future__ import annotations
+
+import argparse
+from pathlib import Path
+from typing import Any
+
+from umberusher.commands import tools
+from umberusher.faults import UsageFault
+from umberusher.replay import trouble
+from umberusher.replay.stage import Options, replay
+from umberusher.traces.plan import Plan
+
+EXIT_UNSCORED, EXIT_BROKEN = 3, 1
+
+
+def options(args: argparse.Namespace) -> Options:
+    """The options of a replay; UsageFault where they make no sense."""
+    if not 1 <= args.nodes <= 200 or not 1 <= args.brokers <= 20:
+        raise UsageFault("--nodes: 1 to 200, --brokers: 1 to 20")
+    if not 0 <= args.leave <= 1:
+        raise UsageFault("--leave: expected a share from 0 to 1")
+    return Options(args.clock, args.seed, args.nodes, args.brokers, args.retries, args.leave,
+                   troubles=trouble.load(args.faults) if args.faults else [])
+
+
+def show(found: dict[str, Any]) -> None:
+    """Print a result as tables."""
+    scored = "not scored" if found["service"] is None else f"service {found['service']}"
+    tools.out.print(f"{scored}  played {found['played']}/{found['planned']} requests on the {found['clock']} clock in "
+                    f"{found['took_s']} s  attempts {found['attempts']}  digest {found['digest']}")
+    if found["partial"]:
+        tools.out.print("PARTIAL: stopped before the end of the plan")
+    if not found["kept_pace"]:
+        tools.out.print(f"NOT SCORED: the clients could not keep pace: {found['client_lag_ms']} ms late")
+    tools.table("classes", ["class", "requests", "service", "served", "late", "refused", "failed", "expired", "p50 ms",
+                            "p99 ms"], [
+        [name, each["requests"], "-" if each["service"] is None else each["service"],
+         *(each["ends"].get(end, 0) for end in ("served", "late", "refused", "failed", "expired")),
+         each["latency_ms"].get("p50", "-"), each["latency_ms"].get("p99", "-")]
+        for name, each in found["by_class"].items()])
+    if found["breaches"] or found["rules_broken"]:
+        tools.table("RULES BROKEN", ["rule", "times"], [[rule, n] for rule, n in found["breaches"].items()])
+        for each in found["rules_broken"][:10]:
+            tools.out.print(f"  {each['at_ms']} ms  {each['rule']}: {each['what']}", markup=False)
+    else:
+        tools.out.print("rules: all kept, by what crossed the sockets")
+
+
+def run(args: argparse.Namespace) -> int:
+    """Play; 0 scored, 1 a rule is broken, 3 nothing was scored."""
+    log = tools.log_to(args.log_format)
+    plan, chosen = Plan.load(args.plan), options(args)
+    chosen.keep_log = bool(args.wire_log)
+    with tools.progress("replaying") as bar:
+        task = bar.add_task("", total=len(plan))
+        found = replay(plan, chosen, lambda done: bar.update(task, completed=done))
+    lines = found.pop("log", None)
+    if args.wire_log:
+        tools.write(args.wire_log, "\n".join(lines).encode() + b"\n")
+    log.info("replayed", service=found["service"], took_s=found["took_s"], rules_broken=len(found["rules_broken"]),
+             digest=found["digest"])
+    tools.write_json(args.json, found)
+    show(found)
+    if args.report:
+        from umberusher.replay import report
+        tools.write(Path(args.report) / "replay.html", report.page(Path(args.plan).name, plan, found, chosen))
+        tools.write_json(str(Path(args.report) / "replay.json"), found)
+        tools.out.print(f"report: {Path(args.report) / 'replay.html'}", markup=False)
+    if found["rules_broken"]:
+        return EXIT_BROKEN
+    return EXIT_UNSCORED if found["service"] is None else 0
--- a/umberusher/standin/clock.py
+++ b/umberusher/standin/clock.py
@@ -10,7 +10,7 @@
 
 from umberusher.net.loop import Loop
 
-EPOCH_S = 1_700_000_000.0
+EPOCH_S = 1_000_000.0  # small enough that a float tells a tenth of a nanosecond
 EVENTS = 1 << 14  # of one poll: all that is ready, for a part of it would be the kernel's choice
 
 
--- a/umberusher/standin/sharing.py
+++ b/umberusher/standin/sharing.py
@@ -15,6 +15,9 @@
 from enum import Enum
 
 
+NEAR_MS = 1e-3  # guards against times that miss each other by a rounding, and timers set again for ever
+
+
 class Taken(Enum):
     """What became of work that was offered."""
 
@@ -108,10 +111,10 @@
         ended, began, over = [], [], []
         while True:
             due = self.next_ms()
-            if due is None or due > now_ms + 1e-6:
+            if due is None or due > now_ms + NEAR_MS:
                 break
             self._move(due)
-            while self._ends and (self._ends[0][2].gone or self._ends[0][0] <= self.v + 1e-9):
+            while self._ends and (self._ends[0][2].gone or self._ends[0][0] <= self.v + NEAR_MS):
                 work = heapq.heappop(self._ends)[2]
                 if not work.gone:
                     self._free(work)
--- a/umberusher/traces/scripts.py
+++ b/umberusher/traces/scripts.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -44,19 +43,17 @@
 
 
 class Script:
-    """One script, loaded. ``behind`` is added after its text, so that line numbers stay those of the file."""
+    """One script, loaded. ``prelude`` is run before its text and ``behind`` after it; line numbers stay the file's."""
 
-    def __init__(self, name: str, text: str, *, before: dict[str, Any] | None = None, behind: str = "",
-                 calls: dict[str, Callable[..., Any]] | None = None, values: tuple[str, ...] = ()) -> None:
+    def __init__(self, name: str, text: str, *, behind: str = "", values: tuple[str, ...] = (), prelude: str = "") -> None:
         self.name, self.text = name, text
         self.ticks = _Ticks(LOAD_TICKS)
         self.options = starlark.EvalOptions(check_cancelled=self.ticks, max_callstack_size=DEPTH)
         module = starlark.Module()
-        for key, value in (before or {}).items():
-            module[key] = value
-        for key, call in (calls or {}).items():
-            module.add_callable(key, call)
         try:
+            if prelude:
+                starlark.eval_with(self.options, module, starlark.parse("prelude", prelude),
+                                   starlark.Globals.standard())
             tree = starlark.parse(name, text + "\n" + behind)
             starlark.eval_with(self.options, module, tree, starlark.Globals.standard())
         except starlark.StarlarkError as error:
