--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -75,8 +75,12 @@
 }
 
 
-def _add(commands: argparse._SubParsersAction, table: dict[str, tuple[str, str, tuple[Option, ...]]]) -> None:
+def _add(commands: argparse._SubParsersAction, table: dict[str, tuple[str, str, tuple[Option, ...]]],
+         asked: str) -> None:
+    """Parsers of all commands, or of the one asked for: guards the memory of ``serve`` against the others' options."""
     for name, (module, told, options) in table.items():
+        if asked in table and asked != name:
+            continue
         parser = commands.add_parser(name, help=told, description=told)
         for names, more in options:
             parser.add_argument(*names, **more)
@@ -87,9 +91,11 @@
     """Parse the command line and run; 2 where it or a configuration can't be used."""
     parser = argparse.ArgumentParser(prog="umberusher", description="A broker for queries on a fleet of engines.")
     commands = parser.add_subparsers(dest="command", required=True)
-    _add(commands, COMMANDS)
-    trace = commands.add_parser("trace", help="read, compile and replay published cluster traces")
-    _add(trace.add_subparsers(dest="sub", required=True), TRACE)
+    asked = [*(sys.argv[1:] if argv is None else argv), "", ""]
+    _add(commands, COMMANDS, asked[0])
+    if asked[0] not in COMMANDS:
+        trace = commands.add_parser("trace", help="read, compile and replay published cluster traces")
+        _add(trace.add_subparsers(dest="sub", required=True), TRACE, asked[1])
     args = parser.parse_args(argv)
     try:
         module = importlib.import_module(f"umberusher.commands.{args.module}")
--- a/umberusher/commands/trace_replay.py
+++ b/umberusher/commands/trace_replay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import signal
 from pathlib import Path
 from typing import Any
 
@@ -53,9 +54,11 @@
     log = tools.log_to(args.log_format)
     plan, chosen = Plan.load(args.plan), options(args)
     chosen.keep_log = bool(args.wire_log)
+    before = signal.signal(signal.SIGTERM, signal.default_int_handler)  # told to end: as by Ctrl-C
     with tools.progress("replaying") as bar:
         task = bar.add_task("", total=len(plan))
         found = replay(plan, chosen, lambda done: bar.update(task, completed=done))
+    signal.signal(signal.SIGTERM, before)
     lines = found.pop("log", None)
     if args.wire_log:
         tools.write(args.wire_log, "\n".join(lines).encode() + b"\n")
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import gc
 import json
 import logging
@@ -48,6 +49,7 @@
 KEY_MS = 60.0  # clients space requests of one key so
 LAG_P99_MS, LAG_MOST_MS = 50.0, 500.0  # clients that are later than this can't keep pace, and nothing is scored
 PAUSE_MS = 50.0  # before a client's own retry where it is told none
+PR_SET_PDEATHSIG = 1  # of prctl(2)
 LINES = 4  # connections of clients to a broker at the start
 
 
@@ -84,6 +86,11 @@
     leave_ms: float | None = None
 
 
+def _with_parent() -> None:
+    """Guards against brokers that outlive a replay which was killed: the kernel ends them with it (prctl(2))."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Stage:
     """One replay."""
 
@@ -92,6 +99,7 @@
         if unknown:
             raise UsageError(f"the plan has classes that the settings lack: {', '.join(unknown)}")
         self.plan, self.options, self.progress = plan, options, progress
+        self.folder: tempfile.TemporaryDirectory | None = None
         self.loop: Loop = StepLoop() if options.clock == "step" else Loop(time.time)
         self.began_s = 0.0
         self.checker = Checker(Rules(
@@ -191,13 +199,13 @@
             return broker.front.listener.sock.getsockname()
         address = free_address()
         raw["listen"] = f"{address[0]}:{address[1]}"
-        self.folder = getattr(self, "folder", None) or tempfile.TemporaryDirectory(prefix="umberusher-replay-")
+        self.folder = self.folder or tempfile.TemporaryDirectory(prefix="umberusher-replay-")
         path = Path(self.folder.name) / f"b{number}.json"
         path.write_text(json.dumps(raw))
         with open(Path(self.folder.name) / f"b{number}.log", "wb") as log:
             self.children.append(subprocess.Popen(
                 [sys.executable, "-m", "umberusher", "serve", "--log-level", "warning"], stderr=log, stdout=log,
-                env=os.environ | {"LB_CONFIG": str(path), "TMPDIR": self.folder.name}))
+                env=os.environ | {"LB_CONFIG": str(path), "TMPDIR": self.folder.name}, preexec_fn=_with_parent))
         return address
 
     # -- Playing
@@ -259,7 +267,7 @@
             node.close()
         self.board.close()
         self.loop.close()
-        if hasattr(self, "folder"):
+        if self.folder:
             self.folder.cleanup()
         self.board.tap = tap
 
@@ -291,7 +299,8 @@
         limit = settings["deadline_ms"] * draw.uniform(0.8, 1.0)
         broker = (xxhash.xxh3_64_intdigest(key.encode()) if key else draw.getrandbits(16)) % len(self.clients)
         at_ms = self.now_ms()
-        leaves = limit * draw.uniform(0.02, 0.9) if draw.random() < self.options.leave else None
+        # Mostly early: half of those who leave do so within an eighth of their time.
+        leaves = max(limit * 0.9 * draw.random() ** 3, 1.0) if draw.random() < self.options.leave else None
         ask = Ask(number, name, work_ms, key, body, fields, at_ms, at_ms + limit, broker, leave_ms=leaves)
         self.open += 1
         free = self.key_free.get(key, 0.0) if key else 0.0
