--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -14,6 +14,7 @@
 from umberusher import interface as api
 from umberusher.admin import Desk, Door
 from umberusher.config import Config, ConfigError
+from umberusher.deadlines.timeline import Timeline
 from umberusher.decide import Gateway
 from umberusher.handover import Handover, Side, Taken, Use, take_over
 from umberusher.net.loop import Loop
@@ -51,8 +52,10 @@
 
     def __init__(self, config: Config, loop: Loop | None = None, clock: Callable[[], float] = time.time,
                  reread: Callable[[], Config] | None = None, path: str | None = None) -> None:
-        self.config, self.loop, self.clock = config, loop or Loop(), clock
+        self.config, self.loop = config, loop or Loop()
         self.reread, self.reloading = reread, False
+        self.time = Timeline(self.loop.clock, clock)
+        self.now_ms = self.time.now_ms
         self.gateway = Gateway(config.settings, config.seed)
         self.queue: deque[api.Event] = deque()
         self.pumping = False
@@ -64,9 +67,9 @@
         for_engines = int(descriptors * ENGINE_PART)
         self.serving = False  # accepts, or has accepted until a successor did
         self.leaving = False  # about to end, and a successor accepts
-        self.started_at = self.clock()
+        self.started_at = self.loop.clock()
         self.book = Book(self.post, self.now_ms)
-        self.route = Route(self.post, self.now_ms)
+        self.route = Route(self.post, self.time.unix_ms, self.time.inward)
         self.relay = Relay(self.book, self.post)
         self.send = Send(self.loop, self.route, self.book, self.relay, self.now_ms, self.post,
                          multiplex=config.multiplex, connect_timeout_ms=config.connect_timeout_ms,
@@ -88,10 +91,6 @@
             api.SetTimer: self._set_timer, api.CloseIdle: lambda a: self.send.close_idle(a.engine),
             api.Remark: lambda a: log.info("module: %s", a.text)}
 
-    def now_ms(self) -> float:
-        """The Unix clock."""
-        return self.clock() * 1000.0
-
     def good(self) -> bool:
         """Whether clients should come: the list is in, and the broker is not about to end."""
         return bool(self.route.members) and self.stopping_at is None
@@ -194,7 +193,7 @@
 
         A board that says nothing holds a successor up for a bounded time only.
         """
-        if self.route.members and (self.board.heard or self.clock() - self.started_at > FRESH_S):
+        if self.route.members and (self.board.heard or self.loop.clock() - self.started_at > FRESH_S):
             self.serving = True
             self.front.hold(False)
             self.handover.say_ready()
@@ -236,7 +235,7 @@
     def stop(self) -> None:
         """Begin to end; safe to call from a signal handler."""
         if self.stopping_at is None:
-            self.stopping_at = self.clock()
+            self.stopping_at = self.loop.clock()
 
     def reload(self) -> None:
         """Have the configuration read again at the next sweep; safe to call from a signal handler."""
@@ -266,7 +265,7 @@
         self._share()
         if not self.serving and self.stopping_at is None:  # one that is about to end leaves the listener where it is
             self._come_in()
-        if self.stopping_at is not None and self._ended(self.clock() - self.stopping_at):
+        if self.stopping_at is not None and self._ended(self.loop.clock() - self.stopping_at):
             self.loop.running = False
 
     def _ended(self, passed: float) -> bool:
--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import logging
 import socket
+import struct
+import termios
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -20,6 +23,11 @@
 log = logging.getLogger(__name__)
 
 
+UNSENT_MOST = 16_384  # bytes that the kernel may hold unsent: what waits here can still be decided on
+STUCK_MS = 250.0  # without a byte taken, after which a connection is stuck
+NOTSENT_LOWAT = getattr(socket, "TCP_NOTSENT_LOWAT", 25)
+
+
 class State(Enum):
     """Where a connection stands."""
 
@@ -65,6 +73,8 @@
         self.writing: Message | None = None  # the message that is in the outbound ring
         self.paused = False  # the owner takes no more for now
         self.closing = False  # close once all is written
+        self.sent = 0  # bytes that the kernel has taken
+        self.waits_since: float | None = None  # the loop's time since which the kernel takes nothing
         self._reading = False
         self.on_open: Callable[[], None] = lambda: None
         self.on_data: Callable[[], None] = lambda: None
@@ -107,6 +117,23 @@
         self.loop.forget(self.fd)
         self.sock.close()
 
+    def unacked(self) -> int:
+        """Bytes that the kernel has taken and the other machine has not acknowledged."""
+        try:
+            return struct.unpack("i", fcntl.ioctl(self.fd, termios.TIOCOUTQ, b"\0\0\0\0"))[0]
+        except OSError:
+            return 0
+
+    def stuck(self) -> bool:
+        """Whether nothing of what waits has been taken for a while."""
+        return self.waits_since is not None and self.loop.clock() - self.waits_since > STUCK_MS / 1000.0
+
+    def abort(self, why: str) -> None:
+        """Close with a reset: what the other machine has not taken yet it never gets."""
+        if self.state is State.OPEN:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.close(why)
+
     def withdraw(self, message: Message) -> bool:
         """Take a message back that has not begun."""
         if message in self.outbox:
@@ -234,8 +261,11 @@
                         self.close("a message is larger than the buffer")
                         return
                     self.writing = message
-                self.outbound.flush(self.sock)
+                self.sent += self.outbound.flush(self.sock)
+                self.waits_since = None
         except (BlockingIOError, InterruptedError):
+            if self.waits_since is None:
+                self.waits_since = self.loop.clock()
             return
         except OSError as error:
             self.close(f"write: {errno.errorcode.get(error.errno, error.errno)}")
@@ -252,6 +282,7 @@
         return f"socket: {errno.errorcode.get(error.errno, error.errno)}"
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, NOTSENT_LOWAT, UNSENT_MOST)
     failed = sock.connect_ex(address)
     if failed not in (0, errno.EINPROGRESS):
         sock.close()
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -15,6 +15,7 @@
 
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
 ROUND = 64  # events of one round at the most
+FIRED = 64  # timers of one round at the most: thousands due together must not keep what is ready waiting
 log = logging.getLogger(__name__)
 
 
@@ -137,8 +138,9 @@
                 self._resume(coroutine, events, fd)
 
     def _fire(self) -> None:
-        now = self.clock()
-        while self._timers and self._timers[0][0] <= now:
+        now, left = self.clock(), FIRED
+        while self._timers and self._timers[0][0] <= now and left:
+            left -= 1
             timer = heapq.heappop(self._timers)[2]
             call, timer.call = timer.call, None
             if call is None:
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -347,7 +347,7 @@
 
     def _plan_troubles(self) -> None:
         for each in self.options.troubles:
-            if each.node not in self.nodes:
+            if each.node not in self.nodes and each.kind != "stall":
                 raise UsageError(f"faults: no node {each.node}; there are {', '.join(self.nodes)}")
             self.loop.call_later(each.at * 1000.0 - self.now_ms(), lambda each=each: self._trouble(each))
         for event in self.plan.machines:
@@ -360,8 +360,11 @@
             self.loop.call_later(at_s * 1000.0 - self.now_ms(), call)
 
     def _trouble(self, each: Trouble) -> None:
-        node, faults = self.nodes[each.node], self.nodes[each.node].faults
         self.notes[f"fault {each.kind}"] += 1
+        if each.kind == "stall":
+            self._stall((each.until - each.at) * 1000.0)
+            return
+        node, faults = self.nodes[each.node], self.nodes[each.node].faults
         if each.kind == "silent":
             faults.silent = True
             self._later(each.until, node.speak)
@@ -375,6 +378,12 @@
         elif each.kind == "sick":
             faults.sick = True
             self._later(each.until, lambda: setattr(faults, "sick", False))
+        elif each.kind == "delay":
+            faults.delay_ms = each.by_ms
+            self._later(each.until, lambda: setattr(faults, "delay_ms", 0.0))
+        elif each.kind == "slow":
+            node.read_slowly(max(round(each.rate / 10), 1))
+            self._later(each.until, lambda: node.read_slowly(0))
         elif each.kind == "die":
             self._machine(each.node, "REMOVE")
             self._later(each.back, lambda: self._machine(each.node, "ADD"))
@@ -382,6 +391,15 @@
             self.board.tell([self.board.entry(node, "DRAINING")])
             self._later(each.back, lambda: self.board.tell([self.board.entry(node, "SERVING")]))
 
+    def _stall(self, ms: float) -> None:
+        """Time passes and the brokers have no turn; on the step clock nobody has."""
+        if isinstance(self.loop, StepLoop):
+            self.loop.now += ms / 1000.0
+            return
+        for child in self.children:
+            child.send_signal(signal.SIGSTOP)
+        self.loop.call_later(ms, lambda: [child.send_signal(signal.SIGCONT) for child in self.children])
+
     def _machine(self, name: str, event: str) -> None:
         """A machine of the trace, or of a fault, goes or comes; its id stays its own."""
         node = self.nodes[name]
@@ -412,7 +430,8 @@
             "rules_broken": list(checker.broken) + ([{"rule": "crash", "at_ms": 0, "what": "a broker crashed"}]
                                                     if self.notes["brokers that crashed"] else []),
             "breaches": dict(sorted(checker.breaches.items())),
-            "attempts": checker.counts["attempts"], "further_attempts": checker.counts["further attempts"],
+            "attempts": checker.counts["attempts"], "begun": checker.counts["begun"],
+            "begun_after": round(checker.latest_ms, 2), "further_attempts": checker.counts["further attempts"],
             "begun_late": checker.counts["begun late"], "work_for_nobody": checker.counts["work for nobody"],
             "wasted_ms": round(sum(node.wasted_ms for node in self.nodes.values()), 1),
             "digest": checker.digest, "key_delays": self.key_delays, "notes": dict(sorted(self.notes.items()))}
--- a/umberusher/replay/trouble.py
+++ b/umberusher/replay/trouble.py
@@ -8,6 +8,9 @@
         die("n-3", at=30, back=45),            # the process ends; back: a new one of the same id, cold
         drain("n-4", at=20, back=40),          # the board says so
         sick("n-0", at=3, until=9),            # answers probes with SICK
+        delay("n-1", at=0, until=60, by_ms=25),    # each way takes so much longer
+        slow("n-2", at=5, until=9, rate=10),   # reads so many bytes a second, and no more
+        stall("all", at=12, until=12.5),       # step clock: nobody runs, time passes; wall: brokers are stopped
     ]
 """
 
@@ -20,7 +23,8 @@
 from umberusher.traces.scripts import Script, ScriptError
 
 KINDS = {"silent": ("until",), "reset": (), "cut": ("after",), "late_reports": ("until", "by_ms"), "die": ("back",),
-         "drain": ("back",), "sick": ("until",)}
+         "drain": ("back",), "sick": ("until",), "delay": ("until", "by_ms"), "slow": ("until", "rate"),
+         "stall": ("until",)}
 OPTIONAL = {"back"}
 FAULTS_MOST = 1_000
 
@@ -36,6 +40,7 @@
     back: float | None = None
     after: int | None = None
     by_ms: float | None = None
+    rate: float | None = None
 
 
 def _prelude() -> str:
--- a/umberusher/stages/route.py
+++ b/umberusher/stages/route.py
@@ -23,16 +23,17 @@
     address: tuple[str, int]
     state: EngineState  # as it counts here: a banned engine drains
     told: api.EngineEntry  # the board's newest word
-    fresh_ms: float = 0.0  # when it was called back: it has started no sooner
+    fresh_ms: float = 0.0  # when it was called back, Unix: it has started no sooner
 
 
 class Route:
     """The list of engines as the notice board has told it, with the operators' bans laid over it."""
 
-    def __init__(self, post: Callable[[api.Event], None], now_ms: Callable[[], float]) -> None:
-        self.post, self.now_ms = post, now_ms
+    def __init__(self, post: Callable[[api.Event], None], unix_ms: Callable[[], float],
+                 inward: Callable[[float], float] = lambda unix_ms: unix_ms) -> None:
+        self.post, self.unix_ms, self.inward = post, unix_ms, inward
         self.members: dict[str, Member] = {}
-        self.banned: dict[str, float] = {}  # since when
+        self.banned: dict[str, float] = {}  # since when, Unix: the other process of an upgrade has another timeline
         self.seen: dict[str, None] = {}  # ids once listed, the newest last
         self.rev = 0
         self.on_closed: Callable[[Member], None] = lambda member: None  # nothing new may go there
@@ -85,7 +86,8 @@
             entry = replace(entry, state=EngineState.DRAINING)
         if (entry.started_ms or 0.0) < member.fresh_ms:
             entry = replace(entry, started_ms=member.fresh_ms)
-        return entry
+        # What is told in Unix time reaches the decisions on their own timeline: a step of the clock moves no start.
+        return replace(entry, started_ms=self.inward(entry.started_ms)) if entry.started_ms else entry
 
     def find(self, engine: str) -> Member | None:
         """The engine, where something new may go to it."""
@@ -111,7 +113,7 @@
         if len(self.banned) >= BANS_MOST:
             oldest = next((name for name in self.banned if name not in self.members), None)
             self.banned.pop(oldest, None)
-        self.banned[engine] = self.now_ms() if since_ms is None else since_ms
+        self.banned[engine] = self.unix_ms() if since_ms is None else since_ms
         member = self.members.get(engine)
         if member:
             heard = self._laid(member)
@@ -137,7 +139,7 @@
         if member:
             # Guards a cold engine: it may have started anew unseen, so where the board tells no start it was just now.
             started = member.told.started_ms or 0.0
-            member.fresh_ms = started if started > since else self.now_ms()
+            member.fresh_ms = started if started > since else self.unix_ms()
             self.on_moved(member)
             heard = self._laid(member)
             member.state = heard.state
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -4,10 +4,14 @@
 
 import itertools
 import logging
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from umberusher import interface as api
+from umberusher.deadlines.allowance import MARGIN_MS, Allowances, Trips
+from umberusher.deadlines.budget import LEAST_TTL_MS, Spent
+from umberusher.deadlines.waiting import Deed, Place, Proof, Verdict, verdict
 from umberusher.interface import Ending
 from umberusher.net import connection
 from umberusher.net.connection import Connection, Raw, State
@@ -35,20 +39,29 @@
     """An attempt as a message: made into bytes only when its turn has come."""
 
     attempt: Attempt
-    now_ms: Callable[[], float]
-    book: Book
+    link: Link
 
     def encode(self) -> bytes:
-        """REQ, with the time that is left now."""
-        attempt = self.attempt
+        """REQ, with the time that is left for the engine; nothing where none is.
+
+        Guards against work that begins after its client's time: a process that was stopped finds what it had queued
+        over, and its timers have not had their turn yet.
+        """
+        attempt, owner = self.attempt, self.link.owner
+        if attempt.ended:
+            return b""
+        ttl = owner.ttl(attempt, self.link)
+        if isinstance(ttl, Spent):
+            owner.loop.call_later(0.0, lambda: owner.unsent(attempt, ttl))
+            return b""
         attempt.reach = Reach.PARTLY_WRITTEN
-        return codec.request(attempt.ticket.rid, attempt.ticket.arrival.query_class,
-                             attempt.until_ms - self.now_ms(), attempt.ticket.statement)
+        return codec.request(attempt.ticket.rid, attempt.ticket.arrival.query_class, ttl, attempt.ticket.statement)
 
     def written(self) -> None:
         """The engine may have it whole from now on."""
         self.attempt.reach = max(self.attempt.reach, Reach.WHOLE)
-        self.book.written += 1
+        self.attempt.end = self.link.conn.sent
+        self.link.owner.book.written += 1
 
 
 @dataclass(slots=True, eq=False)
@@ -74,11 +87,15 @@
         self.half_ms: float | None = None  # since when there is a part of an answer; its bytes come in any pieces
         self.old = False  # of a process or an address that is no more: it ends what it carries and takes nothing new
         self.suspect = False  # a probe brought nothing, and nothing else has come since
+        self.trips = Trips()
+        self.began_ms = self.used_ms
         conn.on_open, conn.on_data, conn.on_closed = self._opened, self._data, self._closed
         self.timer = send.loop.call_later(send.connect_timeout_ms, self._too_slow)
 
     def _opened(self) -> None:
         self.timer.cancel()
+        now = self.owner.now_ms()
+        self.owner.allowances.learn(self.engine, now, now - self.began_ms)
         for attempt in self.attempts.values():
             attempt.reach = max(attempt.reach, Reach.NOT_WRITTEN)
 
@@ -143,7 +160,7 @@
         """Whether this attempt may go over it."""
         return (not self.old and len(self.attempts) < self.owner.multiplex and rid not in self.attempts
                 and rid not in self.retired and len(self.retired) < RETIRED_MOST and not self.suspect
-                and not self.expiring(now_ms))
+                and not self.expiring(now_ms) and not self.conn.stuck())
 
     def expiring(self, now_ms: float) -> bool:
         """Whether the engine may be closing it for idleness: what is written then can be lost in doubt."""
@@ -156,7 +173,7 @@
         attempt.reach = Reach.NOT_WRITTEN if self.conn.state is State.OPEN else Reach.NOT_CONNECTED
         self.used_ms = self.owner.now_ms()
         self.attempts[attempt.ticket.rid] = attempt
-        message = self.messages[attempt.ticket.rid] = Outgoing(attempt, self.owner.now_ms, self.owner.book)
+        message = self.messages[attempt.ticket.rid] = Outgoing(attempt, self)
         self.conn.send(message)
 
     def release(self, attempt: Attempt) -> bool:
@@ -167,6 +184,16 @@
         del self.attempts[rid]
         return self.conn.withdraw(self.messages.pop(rid))
 
+    def place(self, attempt: Attempt) -> Place:
+        """Where an attempt's bytes are."""
+        if attempt.count:
+            return Place.ANSWERED
+        if attempt.reach < Reach.PARTLY_WRITTEN:
+            return Place.QUEUED
+        if attempt.reach < Reach.WHOLE:
+            return Place.PARTLY
+        return Place.KERNEL if self.conn.sent - self.conn.unacked() < attempt.end else Place.ENGINE
+
     def tell(self, word: str, *words: object) -> None:
         """Write a line."""
         self.conn.send(Raw(codec.command(word, *words)))
@@ -183,6 +210,9 @@
         self.multiplex, self.connect_timeout_ms, self.keepalive_ms = multiplex, connect_timeout_ms, keepalive_ms
         self.most = most  # connections to all engines together
         self.elsewhere = 0  # those of other processes of this broker
+        self.allowances = Allowances()
+        self.expired: Counter[str] = Counter()  # attempts that were not sent since their time was over, by why
+        self.given_up: Counter[str] = Counter()  # those that nobody wanted any more, by place
         self.links: dict[str, list[Link]] = {}
         self._tags = itertools.count(1)
         route.on_closed, route.on_moved = self._stop_engine, self._retire_engine
@@ -214,24 +244,62 @@
             # Guards engines against being left out for this broker's own want of descriptors.
             self.book.ended(attempt, Ending.FULL)
             return
+        spent = self.ttl(attempt, link)
+        if isinstance(spent, Spent):
+            self.unsent(attempt, spent)
+            return
         attempt.timer = self.loop.call_later(until - now, lambda: self.give_up(attempt, Ending.TIMEOUT))
         link.carry(attempt)
 
+    def ttl(self, attempt: Attempt, link: Link) -> int | Spent:
+        """What the engine may be told of an attempt's time, if it went out now."""
+        now = self.now_ms()
+        way = max(self.allowances.of(link.engine), link.trips.delay_ms(now) + MARGIN_MS)
+        found = attempt.ticket.budget.ttl(now, way)
+        # An attempt that ends before its request does: nothing begins too late for its client.
+        return found if isinstance(found, Spent) else max(min(found, int(attempt.until_ms - now)), LEAST_TTL_MS)
+
+    def unsent(self, attempt: Attempt, why: Spent) -> None:
+        """An attempt whose time is over before it goes out: it never ran, and no engine is at fault."""
+        if not attempt.ended:
+            log.info("attempt %s/%d at %s: not sent: %s", attempt.ticket.rid, attempt.number, attempt.engine, why.value)
+            self.expired[why.name] += 1
+            self.book.ended(attempt, Ending.MOOT)
+
     def give_up(self, attempt: Attempt, ending: Ending) -> None:
-        """Stop waiting for an attempt: STOP where the engine may have it."""
+        """Stop waiting for an attempt: what is done about its bytes is the table's word (deadlines.waiting)."""
         if attempt.ended:
             return
         link = attempt.link
-        if link and not link.release(attempt) and link.conn.state is State.OPEN:
-            link.retired.add(attempt.ticket.rid)
-            link.tell("STOP", attempt.ticket.rid)
-            self.book.ended(attempt, ending)
-        elif not attempt.ticket.open:
+        if link and link.conn.state is State.OPEN:
+            place = link.place(attempt)
+            found = verdict(place, alone=len(link.attempts) == 1 and not link.probes)
+            self.given_up[place.name] += 1
+            if found.deed is not Deed.WITHDRAW:
+                self._cut(link, attempt, ending, found)
+                return
+        if link:
+            link.release(attempt)
+        if not attempt.ticket.open:
             # Guards healthy engines: 'no connection' would have the decisions leave them out, though they did nothing.
             self.book.ended(attempt, Ending.MOOT)
         else:
             self.book.faulted(attempt, Fault(Reach.NOT_WRITTEN, "given up before it was sent"))
 
+    def _cut(self, link: Link, attempt: Attempt, ending: Ending, found: Verdict) -> None:
+        """Give up what has begun to go out."""
+        if found.deed is Deed.CLOSE and found.proof is Proof.NEVER_RAN:
+            link.conn.abort("its request was over before it was whole")  # faulted as partly written: it never ran
+            return
+        link.release(attempt)
+        link.retired.add(attempt.ticket.rid)
+        if found.deed is Deed.CLOSE:
+            self.book.ended(attempt, ending)
+            link.conn.abort("its request was over before it was acknowledged")
+            return
+        link.tell(found.deed.name, attempt.ticket.rid)
+        self.book.ended(attempt, ending)
+
     def _stop_engine(self, member: Member) -> None:
         """The engine drains or is gone: what has not begun is taken back, idle connections close."""
         for link in list(self.links.get(member.engine, ())):
@@ -330,6 +398,7 @@
         probing = link.probes[tag] = Probing(engine, self.now_ms(), link)
         probing.timer = self.loop.call_later(PROBE_MS, lambda: self.probe_ended(tag, probing, None))
         link.used_ms = self.now_ms()
+        link.trips.asked(link.used_ms)
         link.tell("STAT", tag)
 
     def probe_ended(self, tag: str, probing: Probing, reply: codec.Reply | None,
@@ -339,6 +408,10 @@
             return
         probing.timer.cancel()
         link, good = probing.link, reply is not None and reply.word == "PONG"
+        if reply is not None:
+            now = self.now_ms()
+            self.allowances.learn(probing.engine, now, now - probing.began_ms)
+            link.trips.answered(now, now - probing.began_ms)
         if good:
             # Guards against a connection that stays open and brings nothing any more, while its engine answers others:
             # what is out on it would wait in vain. An engine that is silent on all of them may come to itself again.
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from umberusher import interface as api
+from umberusher.deadlines.budget import Budget
 from umberusher.net import connection
 from umberusher.net.connection import Connection, Raw, State
 from umberusher.net.listener import Listener
@@ -121,7 +122,7 @@
         return f"statement: {group.why}"
     arrival = api.Arrival(rid, method, now_ms + numbers["budget"], work_ms=numbers["est"], memory_mb=numbers["ram"],
                           group=group, key=fields.get("obj") or None, retried=fields.get("again") == "1")
-    return Ticket(arrival, call.body, caller)
+    return Ticket(arrival, call.body, caller, Budget(now_ms, arrival.deadline_ms))
 
 
 class Abroad:
@@ -273,7 +274,7 @@
         """Another process has the connection; what is open is answered by way of it."""
         self.away = away
         self.conn.detach()
-        self.front.clients.discard(self)
+        self.front.clients.pop(self, None)
 
     def leave(self, seqid: int) -> None:
         """The client waits no more for a call that was taken here, as the other process tells."""
@@ -287,7 +288,7 @@
             self.reply(seqid, thrift.aborted(seqid, {"reason": "the broker ended"}))
 
     def _closed(self, why: str) -> None:
-        self.front.clients.discard(self)
+        self.front.clients.pop(self, None)
         self.front.large.discard(self)
         left, self.open = list(self.open.values()), {}
         for each in left:
@@ -303,7 +304,7 @@
         self.frame_most = min(int(memory_mb * 1e6 * FRAME_PART), thrift.MAX_FRAME)
         self.large_most = max(int(memory_mb * 1e6 * LARGE_PART / self.frame_most), 1)
         self.large: set[Client] = set()  # with more than LARGE bytes of an unfinished call
-        self.clients: set[Client] = set()
+        self.clients: dict[Client, None] = {}  # in the order in which they came, so that sweeps are the same each time
         self.listener: Listener | None = None
         self.elsewhere = 0  # clients of other processes of this broker
 
@@ -342,7 +343,7 @@
             sock.close()
             return
         conn = connection.accepted(self.loop, sock, self.frame_most + 4, OUTBOUND)
-        self.clients.add(Client(self, conn))
+        self.clients[Client(self, conn)] = None
         self.loop.spawn(conn.serve())
 
     def come(self, sock: socket.socket, seqids: list[int], leave: Callable[[int], None]) -> Client:
@@ -351,7 +352,7 @@
         client = Client(self, conn)
         client.asked, client.half_ms = True, None
         client.open = {seqid: Abroad(lambda seqid=seqid: leave(seqid)) for seqid in seqids}
-        self.clients.add(client)
+        self.clients[client] = None
         self.loop.spawn(conn.serve())
         return client
 
--- a/umberusher/ticket.py
+++ b/umberusher/ticket.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from umberusher import interface as api
+from umberusher.deadlines.budget import Budget
 
 if TYPE_CHECKING:
     from umberusher.net.loop import Timer
@@ -58,6 +59,7 @@
     arrival: api.Arrival
     statement: bytes
     caller: Caller
+    budget: Budget
     open: bool = True  # the final answer is still owed
     sent: int = 0  # attempts so far
     attempt: Attempt | None = None  # the one that is out
@@ -83,5 +85,6 @@
     count: int = 0  # pages of the result, once known
     size: int = 0  # bytes of the pages that have come
     heard_ms: float = 0.0  # when the last one came
+    end: int = 0  # where its last byte stands in what its connection has written, once whole
     link: Link | None = None
     timer: Timer | None = None
