--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -171,6 +171,20 @@
     assert link.conn.stuck() and not link.usable("f" * 16, rig.broker.now_ms())
 
 
+def test_what_came_during_a_stall_counts_from_when_the_loop_last_looked(rig):
+    rig = rig()
+    client = rig.client()
+    rig.step(1)
+    rig.now += 3.0  # the process was stopped, and meanwhile a call came
+    client.sock.send(execute(1, {"method": "lookup", "rid": "a" * 16, "budget": "2000"}, b"select * from park_1.sites"))
+    rig.broker.loop.step(0)
+    rig.later(40)  # a tick of the decisions
+    assert rig.answer(client) and rig.broker.book.written == 0
+    rig.later(100)
+    rid = rig.ask(client, budget="2000")  # later ones count from now
+    assert rig.broker.book.tickets[rid].budget.left(rig.broker.now_ms()) > 1_900
+
+
 def test_thousands_of_deadlines_in_one_millisecond_leave_room_for_others():
     now, fired = [0.0], []
     loop = Loop(lambda: now[0])
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -76,8 +76,8 @@
                          keepalive_ms=config.keepalive_ms, most=for_engines)
         self.admit = Admit(self.book, self.send, self.post, config.max_open,
                            limits.max_retry_after_ms if limits.retry_after else None)
-        self.front = TakeIn(self.loop, self.admit, self.now_ms, self.good, descriptors - for_engines,
-                            Form(config.settings), config.memory_mb)
+        self.front = TakeIn(self.loop, self.admit, self.now_ms, lambda: self.time.at_ms(self.loop.arrived), self.good,
+                            descriptors - for_engines, Form(config.settings), config.memory_mb)
         self.board = NoticeBoard(self.loop, config.board, lambda: self.route.rev, self.route.take)
         self.door = Door(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.ban, self.route.unban))
         self.handover = Handover(self.loop, path, Side(
@@ -259,9 +259,11 @@
         self.loop.call_later(SWEEP_MS, self._sweep)
         if self.reloading:
             self._reload()
-        self.front.sweep()
+        if not self.loop.behind:
+            # Guards clients and engines whose bytes lie unread since this process was stopped: they were not silent.
+            self.front.sweep()
+            self.send.sweep()
         self.door.sweep()
-        self.send.sweep()
         self._share()
         if not self.serving and self.stopping_at is None:  # one that is about to end leaves the listener where it is
             self._come_in()
--- a/umberusher/deadlines/allowance.py
+++ b/umberusher/deadlines/allowance.py
@@ -3,8 +3,8 @@
 Owns the estimates. An engine counts a request's time from its own receipt, so the time that is left there is what is
 left here less the way. One way is part of a round trip and so never longer; the least round trip of a window is the
 nearest bound. It is kept with three samples (Kathleen Nichols' windowed minimum, as described with BBR: Cardwell and
-others, 2016): the least of the window, the least after it, and the least after that, so that an old minimum fades without all
-samples being kept.
+others, 2016): the least of the window, the least after it, and the least after that. So an old minimum fades, and the
+samples need not be kept.
 
 A connection may be slower than its engine: what lies unread before a request on it delays that request alone. So the
 newest round trip over the connection itself counts where it is the longer one.
--- a/umberusher/deadlines/timeline.py
+++ b/umberusher/deadlines/timeline.py
@@ -23,6 +23,10 @@
         """Now. It never goes back."""
         return (self._monotonic() + self._offset) * 1000.0
 
+    def at_ms(self, monotonic: float) -> float:
+        """A moment of the monotonic clock, in seconds, on this timeline."""
+        return (monotonic + self._offset) * 1000.0
+
     def unix_ms(self) -> float:
         """What the Unix clock says now: for what is told to others."""
         return self._unix() * 1000.0
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -15,6 +15,8 @@
 
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
 ROUND = 64  # events of one round at the most
+WAITED_S, BEHIND_S = 0.001, 0.5  # a poll that took so long had to wait; what a stall left is read within this
+STALL_S = 0.05  # by which a round may be late before the loop holds that it was stopped
 FIRED = 64  # timers of one round at the most: thousands due together must not keep what is ready waiting
 log = logging.getLogger(__name__)
 
@@ -57,6 +59,8 @@
         self._masks: dict[int, int] = {}
         self._timers: list[tuple[float, int, Timer]] = []
         self._count = self._off = 0
+        self.arrived = self._last = clock()  # since when what is read now may have been here; when the loop last looked
+        self._until = 0.0  # what came during a stall is still being read, at the longest until then
         self.running = False
 
     def call_later(self, delay_ms: float, call: Callable[[], None]) -> Timer:
@@ -124,12 +128,32 @@
         if due is not None:
             timeout = min(timeout, max(due - self.clock(), 0.0))
         # Guards what is hurried against floods: a round is bounded, and these events never wait for more than one.
+        begun = self.clock()
         ready = self.epoll.poll(timeout, ROUND)
+        self._looked(begun, timeout, bool(ready))
         if self._hurried:
             ready = self.first.poll(0) + ready
         self._turn(ready)
         self._fire()
 
+    def _looked(self, begun: float, timeout: float, some: bool) -> None:
+        """Keep since when what is read in this round may have been here.
+
+        Guards against a process that was stopped, or had no core: what came meanwhile lies in the kernel without its
+        time. It came after the loop had last looked, and is held to have come just then, until no more is waiting.
+        """
+        now = self.clock()
+        if now - self._last > timeout + STALL_S:
+            self.arrived, self._until = self._last, now + BEHIND_S
+        elif not some or now - begun > WAITED_S or now > self._until:  # nothing was waiting, or not any more
+            self.arrived, self._until = now, 0.0
+        self._last = now
+
+    @property
+    def behind(self) -> bool:
+        """Whether what came during a stall is still being read: what seems silent may only not have been heard."""
+        return self._until > 0.0
+
     def _turn(self, ready: list[tuple[int, int]]) -> None:
         """Resume what is ready."""
         for fd, events in ready:
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -13,6 +13,7 @@
 import math
 import os
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -117,6 +118,7 @@
         self.key_free: dict[str, float] = {}
         self.key_delays = 0
         self.notes: Counter[str] = Counter()
+        self.broker_log: Counter[str] = Counter()  # wall clock: what brokers warned of, by kind of line
         self.interrupted = False
         self._requests = enumerate(plan.requests())
         self._next = next(self._requests, None)
@@ -268,6 +270,9 @@
         self.board.close()
         self.loop.close()
         if self.folder:
+            for path in Path(self.folder.name).glob("*.log"):
+                for line in path.read_text(errors="replace").splitlines():
+                    self.broker_log[re.sub(r"[0-9a-f]{16}|\d+(\.\d+)?", "N", line.partition(": ")[2])[:120]] += 1
             self.folder.cleanup()
         self.board.tap = tap
 
@@ -303,14 +308,19 @@
         leaves = max(limit * 0.9 * draw.random() ** 3, 1.0) if draw.random() < self.options.leave else None
         ask = Ask(number, name, work_ms, key, body, fields, at_ms, at_ms + limit, broker, leave_ms=leaves)
         self.open += 1
-        free = self.key_free.get(key, 0.0) if key else 0.0
-        if key:
-            self.key_free[key] = max(free, at_ms) + KEY_MS
+        self._turn(ask, at_ms)
+
+    def _turn(self, ask: Ask, at_ms: float) -> None:
+        """Try at a time, or later where the key was just written: clients write requests of one key some time apart."""
+        now = self.now_ms()
+        free = self.key_free.get(ask.key, 0.0) if ask.key else 0.0
+        if ask.key:
+            self.key_free[ask.key] = max(free, at_ms) + KEY_MS
+            self.key_delays += free > at_ms
             if len(self.key_free) > 8_192:
-                self.key_free = {each: until for each, until in self.key_free.items() if until > at_ms}
-        if free > at_ms:  # clients write requests of one key some time apart
-            self.key_delays += 1
-            self.loop.call_later(free - at_ms, lambda: self._try(ask))
+                self.key_free = {key: until for key, until in self.key_free.items() if until > now}
+        if max(free, at_ms) > now:
+            self.loop.call_later(max(free, at_ms) - now, lambda: self._try(ask))
         else:
             self._try(ask)
 
@@ -334,7 +344,7 @@
             told = answer.fields.get("backoff", "") if answer else ""
             wait = float(told) if told.isdigit() else PAUSE_MS
             if self.now_ms() + wait < ask.until_ms - 1.0:
-                self.loop.call_later(wait, lambda: self._try(ask))
+                self._turn(ask, self.now_ms() + wait)
                 return
         self._over(ask, end)
 
@@ -434,7 +444,8 @@
             "begun_after": round(checker.latest_ms, 2), "further_attempts": checker.counts["further attempts"],
             "begun_late": checker.counts["begun late"], "work_for_nobody": checker.counts["work for nobody"],
             "wasted_ms": round(sum(node.wasted_ms for node in self.nodes.values()), 1),
-            "digest": checker.digest, "key_delays": self.key_delays, "notes": dict(sorted(self.notes.items()))}
+            "broker_log": dict(self.broker_log.most_common(20)), "digest": checker.digest,
+            "key_delays": self.key_delays, "notes": dict(sorted(self.notes.items()))}
         if not kept_pace or not complete:
             # Nothing is scored that was not played as planned: a figure would be one of the machine, not the broker.
             result["service"] = None
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -222,7 +222,7 @@
             self._count("refused", call)
             self._write(trylater(call.seqid, self.front.admit.backoff_ms))
             return
-        taken = ticket(call, ThriftCaller(self, call.seqid), self.front.now_ms(), self.front.form)
+        taken = ticket(call, ThriftCaller(self, call.seqid), self.front.arrived_ms(), self.front.form)
         if isinstance(taken, str):
             self._count("failed", call)
             self._complain(call.seqid, "execute", thrift.PROTOCOL_ERROR, taken)
@@ -298,8 +298,9 @@
 class TakeIn:
     """The listener and its clients."""
 
-    def __init__(self, loop: Loop, admit: Admit, now_ms: Callable[[], float], good: Callable[[], bool],
-                 most: int, form: Form, memory_mb: float) -> None:
+    def __init__(self, loop: Loop, admit: Admit, now_ms: Callable[[], float], arrived_ms: Callable[[], float],
+                 good: Callable[[], bool], most: int, form: Form, memory_mb: float) -> None:
+        self.arrived_ms = arrived_ms  # since when what is read now may have been here: a request's time starts then
         self.loop, self.admit, self.now_ms, self.good, self.most, self.form = loop, admit, now_ms, good, most, form
         self.frame_most = min(int(memory_mb * 1e6 * FRAME_PART), thrift.MAX_FRAME)
         self.large_most = max(int(memory_mb * 1e6 * LARGE_PART / self.frame_most), 1)
--- a/umberusher/standin/clock.py
+++ b/umberusher/standin/clock.py
@@ -42,6 +42,7 @@
     def step(self, longest_ms: float = 1000.0) -> None:
         """Run what is ready in a stated order, or move the clock to the next timer."""
         ready = self._poll() or self._poll()
+        self.arrived = self.now  # nothing comes while the clock stands still
         if ready:
             self._turn(ready)
         else:
