--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -33,7 +33,8 @@
     _o("--nodes", type=int, default=7, help="stand-in query nodes (7); a plan with machines brings its own"),
     _o("--brokers", type=int, default=2), _o("--faults", metavar="F.star", help="script of faults"),
     _o("--retries", type=int, default=1, choices=[0, 1], help="a client's own tries after the first (1)"),
-    _o("--leave", type=float, default=0.0, metavar="SHARE", help="share of clients that leave early (0)"))
+    _o("--leave", type=float, default=0.0, metavar="SHARE", help="share of clients that leave early (0)"),
+    _o("--tight", type=float, default=0.0, metavar="SHARE", help="share of requests with up to 0.4 s only (0)"))
 
 COMMANDS: dict[str, tuple[str, str, tuple[Option, ...]]] = {
     "serve": ("serve", "run one broker until SIGTERM", (
--- a/umberusher/commands/trace_replay.py
+++ b/umberusher/commands/trace_replay.py
@@ -20,9 +20,9 @@
     """The options of a replay; UsageError where they make no sense."""
     if not 1 <= args.nodes <= 200 or not 1 <= args.brokers <= 20:
         raise UsageError("--nodes: 1 to 200, --brokers: 1 to 20")
-    if not 0 <= args.leave <= 1:
-        raise UsageError("--leave: expected a share from 0 to 1")
-    return Options(args.clock, args.seed, args.nodes, args.brokers, args.retries, args.leave,
+    if not 0 <= args.leave <= 1 or not 0 <= args.tight <= 1:
+        raise UsageError("--leave, --tight: expected a share from 0 to 1")
+    return Options(args.clock, args.seed, args.nodes, args.brokers, args.retries, args.leave, args.tight,
                    troubles=trouble.load(args.faults) if args.faults else [])
 
 
--- a/umberusher/replay/compare.py
+++ b/umberusher/replay/compare.py
@@ -18,7 +18,7 @@
 from umberusher.replay.stage import Options, replay
 from umberusher.traces.plan import Plan
 
-VARIED = {"seed": int, "nodes": int, "brokers": int, "retries": int, "leave": float, "faults": str}
+VARIED = {"seed": int, "nodes": int, "brokers": int, "retries": int, "leave": float, "tight": float, "faults": str}
 RUNS_MOST = 500
 
 
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -64,6 +64,7 @@
     brokers: int = 2
     retries: int = 1
     leave: float = 0.0
+    tight: float = 0.0  # share of requests with no more than some tenths of a second
     cancel: bool = False
     troubles: list[Trouble] = field(default_factory=list)
     keep_log: bool = False
@@ -302,6 +303,8 @@
         fields = {"method": name, "est": f"{work_ms * math.exp(draw.gauss(0.0, 0.4)):.1f}",
                   "ram": f"{max(memory_mb * math.exp(draw.gauss(0.0, 0.3)), 1.0):.0f}"} | ({"obj": key} if key else {})
         limit = settings["deadline_ms"] * draw.uniform(0.8, 1.0)
+        if self.options.tight and draw.random() < self.options.tight:
+            limit = 1.0 + 400.0 * draw.random() ** 2
         broker = (xxhash.xxh3_64_intdigest(key.encode()) if key else draw.getrandbits(16)) % len(self.clients)
         at_ms = self.now_ms()
         # Mostly early: half of those who leave do so within an eighth of their time.
