--- a/umberusher/ticket.py
+++ b/umberusher/ticket.py
@@ -10,8 +10,8 @@
 from umberusher.deadlines.budget import Budget
 
 if TYPE_CHECKING:
+    from umberusher.net.connection import Connection
     from umberusher.net.loop import Timer
-    from umberusher.stages.send import Link
 
 
 class Reach(IntEnum):
@@ -52,6 +52,18 @@
         """Failed; nothing is promised."""
 
 
+class Carrier(Protocol):
+    """What carries an attempt to its engine; each back protocol has its own."""
+
+    conn: Connection
+
+    def release(self, attempt: Attempt) -> bool:
+        """Let go of an attempt; True where it had not begun and is taken back."""
+
+    def tell(self, word: str, *words: object) -> None:
+        """Write a line about it."""
+
+
 @dataclass(slots=True, eq=False)
 class Ticket:
     """A request that the broker has taken and owes one final answer for."""
@@ -86,5 +98,5 @@
     size: int = 0  # bytes of the pages that have come
     heard_ms: float = 0.0  # when the last one came
     end: int = 0  # where its last byte stands in what its connection has written, once whole
-    link: Link | None = None
+    link: Carrier | None = None
     timer: Timer | None = None
