Find out what came of a cancel, and account for where a request's time went

A STOP was written and the attempt held for ended at once: where cancels are allowed the decisions took for free what still ran, and an answer that had overtaken the STOP was thrown away though its client waited; a late result of several pages stayed on its engine until the connection closed.

deadlines.cancels keeps the STOPs of a connection; one probe behind them proves that they were taken. The decisions hear one ending, by outcome; a deadline waits for none. The allowance learns from probes alone: a handshake is completed by the kernel of a stopped process.

--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -70,12 +70,12 @@
         self.serving = False  # accepts, or has accepted until a successor did
         self.leaving = False  # about to end, and a successor accepts
         self.started_at = self.loop.clock()
-        self.book = Book(self.post, self.now_ms)
+        self.book = Book(self.post, self.now_ms, config.settings.classes)
         self.route = Route(self.post, self.time.unix_ms, self.time.inward)
         self.relay = Relay(self.book, self.post)
         self.send = Send(self.loop, self.route, self.book, self.relay, self.now_ms, self.post,
                          multiplex=config.multiplex, connect_timeout_ms=config.connect_timeout_ms,
-                         keepalive_ms=config.keepalive_ms, most=for_engines)
+                         keepalive_ms=config.keepalive_ms, most=for_engines, cancel=limits.cancel)
         self.admit = Admit(self.book, self.send, self.post, config.max_open,
                            limits.max_retry_after_ms if limits.retry_after else None)
         self.front = TakeIn(self.loop, self.admit, self.now_ms, lambda: self.time.at_ms(self.loop.arrived), self.good,
@@ -109,7 +109,8 @@
             self.book.finals, (cls.name for cls in self.config.settings.classes), self.book.written, {
                 "in_flight": ("Requests taken and not yet ended.", self.book.in_flight),
                 "engines_known": ("Engines in the list.", len(members)),
-                "engines_excluded": ("Listed engines that are avoided, by hand or by judgement.", len(excluded))})
+                "engines_excluded": ("Listed engines that are avoided, by hand or by judgement.", len(excluded))},
+            self.book.account, self.send.expired)
 
     # -- The module
 
--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -34,11 +34,14 @@
     _o("--brokers", type=int, default=2), _o("--faults", metavar="F.star", help="script of faults"),
     _o("--retries", type=int, default=1, choices=[0, 1], help="a client's own tries after the first (1)"),
     _o("--leave", type=float, default=0.0, metavar="SHARE", help="share of clients that leave early (0)"),
-    _o("--tight", type=float, default=0.0, metavar="SHARE", help="share of requests with up to 0.4 s only (0)"))
+    _o("--tight", type=float, default=0.0, metavar="SHARE", help="share of requests with up to 0.4 s only (0)"),
+    _o("--cancel", action="store_true", help="engines heed STOP for what runs, and brokers know it"))
 
 COMMANDS: dict[str, tuple[str, str, tuple[Option, ...]]] = {
     "serve": ("serve", "run one broker until SIGTERM", (
-        _o("--log-level", default="info", choices=["debug", "info", "warning", "error"]),)),
+        _o("--log-level", default="info", choices=["debug", "info", "warning", "error"]),
+        _o("--log-format", choices=["text", "json"], help="structured log, with an event for each request that ends "
+           "late, expired or left; needs structlog"))),
     "version": ("version", "print the version", ()),
     "check-config": ("check_config", "read the configuration and say what it holds", ()),
     "demo": ("demo", "a short example replay; needs no configuration", (
@@ -62,7 +65,8 @@
         _PLAN, _o("--plots", metavar="DIR"), _o("--json", metavar="OUT"))),
     "replay": ("trace_replay", "play a plan through real brokers", (
         _PLAN, *_PLAY, _o("--json", metavar="OUT"), _o("--report", metavar="DIR"),
-        _o("--wire-log", metavar="OUT", help="what crossed the sockets, a JSON line each"), _LOG)),
+        _o("--wire-log", metavar="OUT", help="what crossed the sockets, a JSON line each"),
+        _o("--deadline-log", metavar="OUT", help="the brokers' events of requests late, expired or left"), _LOG)),
     "compare": ("trace_compare", "play a plan under several settings, in parallel", (
         _PLAN, *_PLAY, _o("--vary", action="append", required=True, metavar="NAME=A,B,...",
                           help="seed, nodes, brokers, retries, leave or faults; may be given again"),
@@ -75,6 +79,14 @@
         _o("--machines", metavar="FILE", help="also write machine_events for the pattern"))),
 }
 
+DEADLINES: dict[str, tuple[str, str, tuple[Option, ...]]] = {
+    "report": ("deadlines_report", "where the time of late, expired and left requests went", (
+        _o("log", metavar="LOG", help="a broker's structured log, text or JSON"), _o("--json", metavar="OUT"),
+        _o("--plot", metavar="OUT", help="waterfall of the means and of the slowest requests, SVG"))),
+}
+GROUPS = {"trace": ("read, compile and replay published cluster traces", TRACE),
+          "deadlines": ("what became of requests' time", DEADLINES)}
+
 
 def _add(commands: argparse._SubParsersAction, table: dict[str, tuple[str, str, tuple[Option, ...]]],
          asked: str) -> None:
@@ -95,8 +107,9 @@
     asked = [*(sys.argv[1:] if argv is None else argv), "", ""]
     _add(commands, COMMANDS, asked[0])
     if asked[0] not in COMMANDS:
-        trace = commands.add_parser("trace", help="read, compile and replay published cluster traces")
-        _add(trace.add_subparsers(dest="sub", required=True), TRACE, asked[1])
+        for name, (told, table) in GROUPS.items():
+            group = commands.add_parser(name, help=told, description=told)
+            _add(group.add_subparsers(dest="sub", required=True), table, asked[1])
     args = parser.parse_args(argv)
     try:
         module = importlib.import_module(f"umberusher.commands.{args.module}")
--- a/umberusher/commands/serve.py
+++ b/umberusher/commands/serve.py
@@ -50,11 +50,17 @@
     # Guards against a SIGHUP before the broker is there: its default would end the process. The file is read after.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     config = _config()
-    logging.basicConfig(stream=sys.stderr, level=args.log_level.upper(),
-                        format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    if args.log_format:
+        from umberusher.commands import structured  # structlog comes into memory only where it is asked for
+        tell = structured.log_to(args.log_format, args.log_level)
+    else:
+        tell = None
+        logging.basicConfig(stream=sys.stderr, level=args.log_level.upper(),
+                            format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     for handler in logging.getLogger().handlers:
         handler.addFilter(Sparing())
     broker = Broker(config, reread=_config, path=socket_path(os.environ, config.listen))
+    broker.book.account.tell = tell
     signal.signal(signal.SIGHUP, lambda *_: broker.reload())
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: broker.stop())
--- a/umberusher/commands/trace_replay.py
+++ b/umberusher/commands/trace_replay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import json
 import signal
 from pathlib import Path
 from typing import Any
@@ -23,7 +24,7 @@
     if not 0 <= args.leave <= 1 or not 0 <= args.tight <= 1:
         raise UsageError("--leave, --tight: expected a share from 0 to 1")
     return Options(args.clock, args.seed, args.nodes, args.brokers, args.retries, args.leave, args.tight,
-                   troubles=trouble.load(args.faults) if args.faults else [])
+                   cancel=args.cancel, troubles=trouble.load(args.faults) if args.faults else [])
 
 
 def show(found: dict[str, Any]) -> None:
@@ -53,7 +54,7 @@
     """Play; 0 scored, 1 a rule is broken, 3 nothing was scored."""
     log = tools.log_to(args.log_format)
     plan, chosen = Plan.load(args.plan), options(args)
-    chosen.keep_log = bool(args.wire_log)
+    chosen.keep_log, chosen.keep_stories = bool(args.wire_log), bool(args.deadline_log)
     before = signal.signal(signal.SIGTERM, signal.default_int_handler)  # told to end: as by Ctrl-C
     with tools.progress("replaying") as bar:
         task = bar.add_task("", total=len(plan))
@@ -62,6 +63,9 @@
     lines = found.pop("log", None)
     if args.wire_log:
         tools.write(args.wire_log, "\n".join(lines).encode() + b"\n")
+    stories = found.pop("stories", None)
+    if args.deadline_log:
+        tools.write(args.deadline_log, "".join(json.dumps(each) + "\n" for each in stories or ()).encode())
     log.info("replayed", service=found["service"], took_s=found["took_s"], rules_broken=len(found["rules_broken"]),
              digest=found["digest"])
     tools.write_json(args.json, found)
--- a/umberusher/deadlines/allowance.py
+++ b/umberusher/deadlines/allowance.py
@@ -1,5 +1,8 @@
 """What the way to an engine takes: a bound learned from round trips, engine by engine.
 
+Round trips are those of probes alone. A handshake is no measure: the kernel of a stopped process completes it, and so
+does whatever stands before the engine (a balancer of connections, a SYN proxy).
+
 Owns the estimates. An engine counts a request's time from its own receipt, so the time that is left there is what is
 left here less the way. One way is part of a round trip and so never longer; the least round trip of a window is the
 nearest bound. It is kept with three samples (Kathleen Nichols' windowed minimum, as described with BBR: Cardwell and
@@ -15,11 +18,11 @@
 from dataclasses import dataclass
 
 WINDOW_MS = 30_000.0
-UNKNOWN_MS = 5.0  # of an engine that has not been heard of: the longest way between the rooms, and a little
+UNKNOWN_MS = 50.0  # of an engine that has answered no probe yet: longer than any way that this is made for
 MARGIN_MS = 1.0  # for the millisecond that ttl is cut to, and for the writing itself
 MOST_MS = 2_000.0  # guards against one wild sample: no connection is up to 2 s away
 DELAY_MOST_MS = 500.0  # guards requests against a connection that is given up by then, as one that has gone silent
-FRESH_MS = 1_000.0  # for which a connection's own round trip is believed
+FRESH_MS = 5_000.0  # for which the newest round trip counts where it is longer than the least: ways change
 ENGINES_MOST = 1_024
 
 
@@ -74,7 +77,7 @@
         self.engines: dict[str, WindowedMin] = {}
 
     def learn(self, engine: str, at_ms: float, trip_ms: float) -> None:
-        """A round trip that held no work: a connect, or a shallow probe."""
+        """A round trip that held no work: a probe's."""
         if not 0.0 <= trip_ms <= MOST_MS:
             return
         found = self.engines.get(engine)
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -68,6 +68,7 @@
     cancel: bool = False
     troubles: list[Trouble] = field(default_factory=list)
     keep_log: bool = False
+    keep_stories: bool = False  # what the brokers tell of requests that end late, expired or left; step clock
     spoil: Callable[[Stage], None] | None = None  # tests break something here, to see it caught
 
 
@@ -120,6 +121,8 @@
         self.key_delays = 0
         self.notes: Counter[str] = Counter()
         self.broker_log: Counter[str] = Counter()  # wall clock: what brokers warned of, by kind of line
+        self.stories: list[dict[str, Any]] = []
+        self.door: Counter[str] = Counter()  # the brokers' own account, summed; step clock
         self.interrupted = False
         self._requests = enumerate(plan.requests())
         self._next = next(self._requests, None)
@@ -197,6 +200,9 @@
             found = configuration.parse(raw)
             found.listen = ("127.0.0.1", 0)
             broker = Broker(found, self.loop, self.loop.clock)
+            if self.options.keep_stories:
+                broker.book.account.tell = lambda event: self.stories.append(
+                    {"event": "request", "broker": f"b{number}", "at_ms": round(self.now_ms(), 1)} | dict(event))
             broker.start()
             self.brokers.append(broker)
             return broker.front.listener.sock.getsockname()
@@ -249,6 +255,7 @@
             each.tap = self.board.tap
             each.close()
         for broker in self.brokers:
+            self._count(broker)
             broker.front.close()
             broker.door.close()
             broker.handover.close()
@@ -277,6 +284,16 @@
             self.folder.cleanup()
         self.board.tap = tap
 
+    def _count(self, broker: Broker) -> None:
+        """A broker's own account of deadlines, cancels and waste."""
+        account = broker.book.account
+        for name in ("late", "expired", "left", "cancels"):
+            for key, value in getattr(account, name).items():
+                self.door[f"{name} {key}"] += value
+        self.door["wasted ms"] += round(account.wasted_ms)
+        for key, value in broker.send.expired.items():
+            self.door[f"unsent {key}"] += value
+
     def _arm(self) -> None:
         if self._next is not None:
             self.loop.call_later(self._next[1][0] / 1e3 - self.now_ms(), self._arrive)
@@ -447,6 +464,8 @@
             "begun_after": round(checker.latest_ms, 2), "further_attempts": checker.counts["further attempts"],
             "begun_late": checker.counts["begun late"], "work_for_nobody": checker.counts["work for nobody"],
             "wasted_ms": round(sum(node.wasted_ms for node in self.nodes.values()), 1),
+            "worked_ms": round(sum(node.worked_ms for node in self.nodes.values()), 1),
+            "account": dict(sorted(self.door.items())),
             "broker_log": dict(self.broker_log.most_common(20)), "digest": checker.digest,
             "key_delays": self.key_delays, "notes": dict(sorted(self.notes.items()))}
         if not kept_pace or not complete:
@@ -466,6 +485,8 @@
     document = stage.document() | {"took_s": round(time.monotonic() - begun, 1)}
     if stage.checker.log is not None:
         document["log"] = stage.checker.log
+    if options.keep_stories:
+        document["stories"] = stage.stories
     return document
 
 
--- a/umberusher/stages/book.py
+++ b/umberusher/stages/book.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from umberusher import interface as api
+from umberusher.deadlines.account import Account, Asked, parts
 from umberusher.interface import Ending
 from umberusher.ticket import Attempt, Fault, Reach, Ticket
 
@@ -23,7 +24,11 @@
 class Book:
     """The open tickets and what became of all."""
 
-    def __init__(self, post: Callable[[api.Event], None], now_ms: Callable[[], float]) -> None:
+    def __init__(self, post: Callable[[api.Event], None], now_ms: Callable[[], float],
+                 classes: tuple[api.QueryClass, ...] = ()) -> None:
+        self.classes = {each.name: each for each in classes}
+        self.account = Account(now_ms)
+        self.way_ms: Callable[[str], float] = lambda engine: 0.0  # what the way to an engine takes
         self.finals: Counter[tuple[str, str]] = Counter()  # final answers, by word and class
         self.written = 0  # attempts that are whole with an engine
         self.post, self.now_ms = post, now_ms
@@ -42,13 +47,40 @@
         ticket.open = False
         if word:
             self.count(word, ticket.arrival.query_class)
+        self._tell(ticket, word)
         return True
 
+    def _tell(self, ticket: Ticket, word: str) -> None:
+        """Account for a request that ended late, expired or left."""
+        arrival, attempt = ticket.arrival, ticket.attempt
+        cls = self.classes.get(arrival.query_class)
+        aim = None if cls is None else cls.aim_ms + cls.aim_stretch * (arrival.work_ms or 0.0) / max(cls.threads, 1.0)
+        asked = Asked(ticket.rid, arrival.query_class, ticket.budget.taken_ms, ticket.budget.until_ms, arrival.work_ms,
+                      aim, attempt.engine if attempt else "", ticket.sent)
+        moments = attempt.moments() if attempt else None
+        end = self.account.closes(asked, word, moments)
+        if end is not None and self.account.tell:
+            spent = dict(ticket.spent or {})
+            if attempt:
+                self._spend(spent, attempt)
+            self.account.story(asked, end, moments.place() if moments else "held", spent)
+
+    def _spend(self, spent: dict[str, float], attempt: Attempt) -> None:
+        """Add an attempt's parts."""
+        for name, value in parts(attempt.moments(), self.now_ms(), self.way_ms(attempt.engine)).items():
+            spent[name] = spent.get(name, 0.0) + value
+
     def count(self, word: str, query_class: str) -> None:
         """Count a final answer; the class is one of the settings'."""
         self.counts[word] += 1
         self.finals[word, query_class] += 1
 
+    def worked(self, attempt: Attempt, stopped: bool) -> None:
+        """An engine works, or has worked, for a client who left."""
+        arrival, budget = attempt.ticket.arrival, attempt.ticket.budget
+        self.account.worked(Asked(attempt.ticket.rid, arrival.query_class, budget.taken_ms, budget.until_ms,
+                                  arrival.work_ms), attempt.whole_ms or self.now_ms(), stopped)
+
     # -- Endings of attempts
 
     def ended(self, attempt: Attempt, ending: Ending, report: api.LoadReport | None = None) -> None:
@@ -63,6 +95,9 @@
         if attempt.ticket.attempt is attempt:
             attempt.ticket.attempt = None
         attempt.pages = {}
+        if self.account.tell and attempt.ticket.open:  # it may go on, and end late
+            attempt.ticket.spent = attempt.ticket.spent or {}
+            self._spend(attempt.ticket.spent, attempt)
         self.counts[f"attempt {ending.value}"] += 1
         self.post(api.AttemptEnded(
             attempt.ticket.rid, attempt.number, attempt.engine, ending, self.now_ms() - attempt.began_ms,
@@ -112,5 +147,5 @@
         """Drop a ticket once the decisions have heard that it is over."""
         if isinstance(event, api.ClientLeft) or isinstance(event, api.AttemptEnded) and event.closed:
             ticket = self.tickets.get(event.request)
-            if ticket and not ticket.open:
+            if ticket and not ticket.open and ticket.attempt is None:  # a STOP may be out, and its outcome owed
                 del self.tickets[event.request]
--- a/umberusher/stages/relay.py
+++ b/umberusher/stages/relay.py
@@ -88,6 +88,8 @@
             return
         attempt.pages[number] = reply.body
         attempt.heard_ms = self.book.now_ms()
+        if not number:
+            attempt.answered_ms = attempt.heard_ms
         attempt.size += len(reply.body)
         if attempt.size > MAX_RESULT:
             self._spoilt(attempt, "a result too large")
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -9,8 +9,10 @@
 from dataclasses import dataclass
 
 from umberusher import interface as api
+from umberusher.deadlines import cancels
 from umberusher.deadlines.allowance import MARGIN_MS, Allowances, Trips
 from umberusher.deadlines.budget import LEAST_TTL_MS, Spent
+from umberusher.deadlines.cancels import Cancels, Outcome, Stop
 from umberusher.deadlines.waiting import Deed, Place, Proof, Verdict, verdict
 from umberusher.interface import Ending
 from umberusher.net import connection
@@ -55,12 +57,14 @@
             owner.loop.call_later(0.0, lambda: owner.unsent(attempt, ttl))
             return b""
         attempt.reach = Reach.PARTLY_WRITTEN
+        attempt.begun_ms = owner.now_ms()
         return codec.request(attempt.ticket.rid, attempt.ticket.arrival.query_class, ttl, attempt.ticket.statement)
 
     def written(self) -> None:
         """The engine may have it whole from now on."""
         self.attempt.reach = max(self.attempt.reach, Reach.WHOLE)
         self.attempt.end = self.link.conn.sent
+        self.attempt.whole_ms = self.link.owner.now_ms()
         self.link.owner.book.written += 1
 
 
@@ -88,14 +92,15 @@
         self.old = False  # of a process or an address that is no more: it ends what it carries and takes nothing new
         self.suspect = False  # a probe brought nothing, and nothing else has come since
         self.trips = Trips()
-        self.began_ms = self.used_ms
+        self.opened_ms = 0.0
+        self.cancels: Cancels[Attempt] = Cancels()
+        self.asked: tuple[str, float] = "", 0.0  # the probe behind STOPs that is out: its tag, and when it was written
         conn.on_open, conn.on_data, conn.on_closed = self._opened, self._data, self._closed
         self.timer = send.loop.call_later(send.connect_timeout_ms, self._too_slow)
 
     def _opened(self) -> None:
         self.timer.cancel()
-        now = self.owner.now_ms()
-        self.owner.allowances.learn(self.engine, now, now - self.began_ms)
+        self.opened_ms = self.owner.now_ms()
         for attempt in self.attempts.values():
             attempt.reach = max(attempt.reach, Reach.NOT_WRITTEN)
 
@@ -119,7 +124,52 @@
                 self.owner.relay.take(self.attempts[reply.id], reply)
             elif reply.id in self.probes:
                 self.owner.probe_ended(reply.id, self.probes[reply.id], reply)
-            # What is left is a late line of an id that was given up: nobody waits for it.
+            elif reply.id == self.asked[0]:
+                self._proven()
+            else:
+                self._late(reply)
+
+    def _late(self, reply: codec.Reply) -> None:
+        """A line of an id that was given up."""
+        settled = self.cancels.answered(reply.id, reply.word)
+        if settled:
+            self.owner.settled(self, *settled, reply)
+        elif reply.word == "HIT" and reply.id in self.retired and reply.fields.get("count") != "1":
+            self.tell("END", reply.id)  # else the engine would hold pages that nobody fetches
+
+    def stop(self, attempt: Attempt) -> None:
+        """Write STOP, once; where cancels are allowed also what proves that it was taken."""
+        rid = attempt.ticket.rid
+        self.retired.add(rid)
+        self.tell("STOP", rid)
+        if self.owner.cancel and len(self.cancels.out) < cancels.STOPS_MOST:
+            if self.cancels.stopped(rid, self.owner.now_ms(), attempt):
+                self._ask()
+            self.owner.loop.call_later(cancels.UNKNOWN_MS, lambda: self._unknown(rid))
+
+    def _ask(self) -> None:
+        now = self.owner.now_ms()
+        self.asked = f"h{next(self.owner.tags)}", now
+        self.trips.asked(now)
+        self.tell("HELO", self.asked[0])
+
+    def _proven(self) -> None:
+        """The probe behind STOPs was answered: no late line of theirs can come any more."""
+        now, (_, since) = self.owner.now_ms(), self.asked
+        self.asked = "", 0.0
+        self.owner.allowances.learn(self.engine, now, now - since)
+        self.trips.answered(now, now - since)
+        done, more = self.cancels.proven()
+        if more:
+            self._ask()
+        for stop in done:
+            self.retired.discard(stop.rid)
+            self.owner.settled(self, stop, Outcome.CANCELLED)
+
+    def _unknown(self, rid: str) -> None:
+        stop = self.cancels.overdue(rid, self.owner.now_ms())
+        if stop:
+            self.owner.settled(self, stop, Outcome.UNKNOWN)
 
     def stalled(self, now_ms: float) -> str:
         """Why nothing more is to be hoped for from this connection; empty where there is hope.
@@ -153,6 +203,8 @@
         self.owner.drop(self)
         for attempt in list(self.attempts.values()):
             self.owner.book.faulted(attempt, Fault(attempt.reach, why, len(attempt.pages)))
+        for stop in self.cancels.closed():
+            self.owner.settled(self, stop, Outcome.UNKNOWN)
         for tag, probe in list(self.probes.items()):  # not a time-out: it tells nothing of whether the engine is silent
             self.owner.probe_ended(tag, probe, None, Ending.RESET)
 
@@ -182,7 +234,8 @@
         if self.attempts.get(rid) is not attempt:
             return False
         del self.attempts[rid]
-        return self.conn.withdraw(self.messages.pop(rid))
+        message = self.messages.pop(rid, None)  # gone already where its answer overtook a STOP
+        return message is not None and self.conn.withdraw(message)
 
     def place(self, attempt: Attempt) -> Place:
         """Where an attempt's bytes are."""
@@ -204,7 +257,8 @@
 
     def __init__(self, loop: Loop, route: Route, book: Book, relay: Relay, now_ms: Callable[[], float],
                  post: Callable[[api.Event], None], *, multiplex: int, connect_timeout_ms: float,
-                 keepalive_ms: float, most: int) -> None:
+                 keepalive_ms: float, most: int, cancel: bool = False) -> None:
+        self.cancel = cancel  # engines heed STOP for what runs
         self.loop, self.route, self.book, self.relay = loop, route, book, relay
         self.now_ms, self.post = now_ms, post
         self.multiplex, self.connect_timeout_ms, self.keepalive_ms = multiplex, connect_timeout_ms, keepalive_ms
@@ -214,7 +268,8 @@
         self.expired: Counter[str] = Counter()  # attempts that were not sent since their time was over, by why
         self.given_up: Counter[str] = Counter()  # those that nobody wanted any more, by place
         self.links: dict[str, list[Link]] = {}
-        self._tags = itertools.count(1)
+        self.tags = itertools.count(1)
+        book.way_ms = self.allowances.of
         route.on_closed, route.on_moved = self._stop_engine, self._retire_engine
 
     # -- Attempts
@@ -270,6 +325,10 @@
         """Stop waiting for an attempt: what is done about its bytes is the table's word (deadlines.waiting)."""
         if attempt.ended:
             return
+        if attempt.stopped:  # its STOP is out already
+            if ending is Ending.TIMEOUT:
+                self.book.ended(attempt, ending if attempt.ticket.open else Ending.CANCELLED)
+            return
         link = attempt.link
         if link and link.conn.state is State.OPEN:
             place = link.place(attempt)
@@ -292,13 +351,52 @@
             link.conn.abort("its request was over before it was whole")  # faulted as partly written: it never ran
             return
         link.release(attempt)
-        link.retired.add(attempt.ticket.rid)
         if found.deed is Deed.CLOSE:
+            self._worked(attempt, ending, stopped=True)
             self.book.ended(attempt, ending)
             link.conn.abort("its request was over before it was acknowledged")
             return
-        link.tell(found.deed.name, attempt.ticket.rid)
-        self.book.ended(attempt, ending)
+        if found.deed is Deed.END:
+            link.retired.add(attempt.ticket.rid)
+            link.tell("END", attempt.ticket.rid)
+            self.book.ended(attempt, ending)
+            return
+        # The decisions hear what comes of a STOP. A deadline does not wait for that: its answer is due now.
+        attempt.stopped = self.cancel and ending is Ending.CANCELLED
+        link.stop(attempt)
+        if not attempt.stopped:
+            self._worked(attempt, ending, stopped=False)
+            self.book.ended(attempt, ending)
+
+    def _worked(self, attempt: Attempt, ending: Ending, stopped: bool) -> None:
+        """Account for an engine that works, or has worked, for a client who left."""
+        if ending is Ending.CANCELLED and not attempt.ticket.open:
+            self.book.worked(attempt, stopped)
+
+    def settled(self, link: Link, stop: Stop[Attempt], outcome: Outcome, reply: codec.Reply | None = None) -> None:
+        """What came of a STOP is known."""
+        attempt = stop.owner
+        self.book.account.cancels[outcome.name] += 1
+        if outcome is Outcome.OVERTOOK and attempt.stopped and not attempt.ended and attempt.ticket.open:
+            attempt.stopped = False  # its client still waits, and here is the answer
+            link.retired.discard(stop.rid)
+            link.attempts[stop.rid] = attempt
+            self.relay.take(attempt, reply)
+            return
+        if outcome is Outcome.OVERTOOK and reply.fields.get("count") != "1":
+            link.tell("END", stop.rid)
+        if attempt.ended:
+            return
+        if outcome is not Outcome.NEVER_RAN:
+            self._worked(attempt, Ending.CANCELLED, stopped=outcome is Outcome.CANCELLED)
+        report = codec.report(reply.fields) if reply else None
+        if outcome is Outcome.NEVER_RAN:
+            self.book.ended(attempt, Ending.FULL if reply.word == "SHED" else Ending.MOOT, report)
+        elif outcome is Outcome.UNKNOWN and link.conn.state is State.CLOSED:
+            self.book.ended(attempt, Ending.RESET)
+        else:
+            self.book.ended(attempt, {Outcome.OVERTOOK: Ending.SERVED, Outcome.ERROR: Ending.ERROR}.get(
+                outcome, Ending.CANCELLED), report)
 
     def _stop_engine(self, member: Member) -> None:
         """The engine drains or is gone: what has not begun is taken back, idle connections close."""
@@ -394,7 +492,7 @@
         if not isinstance(link, Link):
             self.post(api.ProbeEnded(engine, Ending.NO_CONNECTION, 0.0))
             return
-        tag = f"p{next(self._tags)}"
+        tag = f"p{next(self.tags)}"
         probing = link.probes[tag] = Probing(engine, self.now_ms(), link)
         probing.timer = self.loop.call_later(PROBE_MS, lambda: self.probe_ended(tag, probing, None))
         link.used_ms = self.now_ms()
--- a/umberusher/standin/node.py
+++ b/umberusher/standin/node.py
@@ -136,7 +136,7 @@
         self.timer: Timer | None = None
         self.notes_timer: Timer | None = None
         self.alive = False
-        self.wasted_ms = 0.0
+        self.wasted_ms = self.worked_ms = 0.0  # work done for nobody, and all work, ms of one thread
         self.start(cold)
 
     def now_ms(self) -> float:
@@ -276,7 +276,10 @@
         job.wanted = False
         if self.cancel and self.alive:
             self._advance()
+            done = job.work.work_ms * (self.machine.progress(job.work.name) or 0.0)
             if self.machine.drop(job.work.name) and self.jobs.pop(job.work.name, None):
+                self.worked_ms += done
+                self.wasted_ms += done
                 if job.work.began_ms is not None:
                     self.tap("ended", self.name, job.rid, False)
             self._arm()
@@ -287,6 +290,7 @@
         ended, began, over = self.machine.advance(self.now_ms())
         for work in ended:
             job = self.jobs.pop(work.name)
+            self.worked_ms += work.work_ms
             self.tap("ended", self.name, job.rid, job.wanted)
             if job.wanted:
                 self._serve(job)
--- a/umberusher/ticket.py
+++ b/umberusher/ticket.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from umberusher import interface as api
+from umberusher.deadlines.account import Moments
 from umberusher.deadlines.budget import Budget
 
 if TYPE_CHECKING:
@@ -56,6 +57,7 @@
     """What carries an attempt to its engine; each back protocol has its own."""
 
     conn: Connection
+    opened_ms: float  # when it came up; 0 before
 
     def release(self, attempt: Attempt) -> bool:
         """Let go of an attempt; True where it had not begun and is taken back."""
@@ -75,6 +77,7 @@
     open: bool = True  # the final answer is still owed
     sent: int = 0  # attempts so far
     attempt: Attempt | None = None  # the one that is out
+    spent: dict[str, float] | None = None  # parts of the time of attempts that brought no result
 
     @property
     def rid(self) -> str:
@@ -96,7 +99,16 @@
     pages: dict[int, bytes] = field(default_factory=dict)
     count: int = 0  # pages of the result, once known
     size: int = 0  # bytes of the pages that have come
+    begun_ms: float = 0.0  # when it was made into bytes
+    whole_ms: float = 0.0  # when its last byte was with the kernel
+    answered_ms: float = 0.0  # when its first page came
     heard_ms: float = 0.0  # when the last one came
     end: int = 0  # where its last byte stands in what its connection has written, once whole
     link: Carrier | None = None
     timer: Timer | None = None
+    stopped: bool = False  # a STOP is out, and the decisions are to hear what comes of it
+
+    def moments(self) -> Moments:
+        """When it came how far."""
+        opened = self.link.opened_ms if self.link else 0.0
+        return Moments(self.began_ms, opened, self.begun_ms, self.whole_ms, self.answered_ms)
