--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -35,6 +35,7 @@
     _o("--retries", type=int, default=1, choices=[0, 1], help="a client's own tries after the first (1)"),
     _o("--leave", type=float, default=0.0, metavar="SHARE", help="share of clients that leave early (0)"),
     _o("--tight", type=float, default=0.0, metavar="SHARE", help="share of requests with up to 0.4 s only (0)"),
+    _o("--skew", type=float, default=0.0, metavar="MS", help="nodes' clocks run ahead or behind by this, in turn (0)"),
     _o("--cancel", action="store_true", help="engines heed STOP for what runs, and brokers know it"))
 
 COMMANDS: dict[str, tuple[str, str, tuple[Option, ...]]] = {
--- a/umberusher/deadlines/waiting.py
+++ b/umberusher/deadlines/waiting.py
@@ -51,9 +51,13 @@
     proof: Proof
 
 
-def verdict(place: Place, alone: bool) -> Verdict:
+def verdict(place: Place, alone: bool, unheard: bool = False) -> Verdict:
     """The deed for a place; ``alone`` where the connection carries nothing else that a close would end.
 
+    ``unheard`` where a probe on the connection has been unanswered for long and nothing else has come: its engine may
+    not have read the request yet, and would begin it late. A STOP behind it would be read as late. Such a connection is
+    closed where it carries nothing else that runs only once: what else is on it is as unheard.
+
     Deadline and leaving are alike here: nobody reads the answer. A close that would end others is not taken: they are
     somebody's, and a load among them would be in doubt for good. Once the kernel has all of it a close proves nothing:
     the other machine may take the rest at that moment.
@@ -62,6 +66,6 @@
         return Verdict(Deed.WITHDRAW, Proof.NEVER_RAN)
     if place is Place.PARTLY:
         return Verdict(Deed.CLOSE, Proof.NEVER_RAN) if alone else Verdict(Deed.STOP, Proof.MAY_HAVE_RUN)
-    if place is Place.KERNEL and alone:
+    if place is Place.KERNEL and alone or place in (Place.KERNEL, Place.ENGINE) and unheard:
         return Verdict(Deed.CLOSE, Proof.MAY_HAVE_RUN)
     return Verdict(Deed.END if place is Place.ANSWERED else Deed.STOP, Proof.MAY_HAVE_RUN)
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -66,6 +66,7 @@
     leave: float = 0.0
     tight: float = 0.0  # share of requests with no more than some tenths of a second
     cancel: bool = False
+    skew_ms: float = 0.0  # nodes' clocks are ahead of everyone's by this, or behind, in turn
     troubles: list[Trouble] = field(default_factory=list)
     keep_log: bool = False
     keep_stories: bool = False  # what the brokers tell of requests that end late, expired or left; step clock
@@ -155,7 +156,8 @@
         shape = Shape(cores, memory, speed=draw.uniform(0.9, 1.1), knee=draw.uniform(1.4, 1.8),
                       thrash=draw.uniform(0.45, 0.9), sessions=draw.randint(6, 10))
         return Node(self.loop, name, shape, self.tap, kind=kind if kind in site.KINDS else "std-8",
-                    zone=site.ZONES[len(self.nodes) % 2], cancel=self.options.cancel, cold=cold)
+                    zone=site.ZONES[len(self.nodes) % 2], cancel=self.options.cancel, cold=cold,
+                    skew_ms=self.options.skew_ms * (1 - 2 * (len(self.nodes) % 2)))
 
     def _config(self, number: int) -> dict[str, Any]:
         host, port = self.board.listen(f"b{number}")
@@ -212,8 +214,9 @@
         path = Path(self.folder.name) / f"b{number}.json"
         path.write_text(json.dumps(raw))
         with open(Path(self.folder.name) / f"b{number}.log", "wb") as log:
+            form = ["--log-format", "json"] if self.options.keep_stories else ["--log-level", "warning"]
             self.children.append(subprocess.Popen(
-                [sys.executable, "-m", "umberusher", "serve", "--log-level", "warning"], stderr=log, stdout=log,
+                [sys.executable, "-m", "umberusher", "serve", *form], stderr=log, stdout=log,
                 env=os.environ | {"LB_CONFIG": str(path), "TMPDIR": self.folder.name}, preexec_fn=_with_parent))
         return address
 
@@ -280,6 +283,10 @@
         if self.folder:
             for path in Path(self.folder.name).glob("*.log"):
                 for line in path.read_text(errors="replace").splitlines():
+                    if line.startswith('{"') and self.options.keep_stories:
+                        event = json.loads(line)
+                        self.stories += [event | {"broker": path.stem}] if event["event"] == "request" else []
+                        continue
                     self.broker_log[re.sub(r"[0-9a-f]{16}|\d+(\.\d+)?", "N", line.partition(": ")[2])[:120]] += 1
             self.folder.cleanup()
         self.board.tap = tap
@@ -440,7 +447,7 @@
             self.board.tell([entry])
         elif event == "ADD" and not node.alive:
             node.start(cold=True)
-            self.board.tell([self.board.entry(node, "SERVING", started_s=self.loop.clock())])
+            self.board.tell([self.board.entry(node, "SERVING", started_s=node.now_ms() / 1000.0)])
 
     # -- What came of it
 
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -33,6 +33,7 @@
 RETIRED_MOST = 256  # given-up ids remembered for a connection; then it takes no more
 HALF_MS, HALF_MOST_MS = 500.0, 1_500.0  # without a further byte of an answer that has begun, and for all of it
 DEAD_MS = 2_500.0  # silence of a connection in doubt; engines that work tell of each query every second
+UNHEARD_MS = 250.0  # a probe's silence, from which on a request given up may lie unread
 PAGES_MS = 1_500.0  # for the next page of a result that has begun
 
 
@@ -180,6 +181,14 @@
             return "half an answer"
         return ""
 
+    def unheard(self, attempt: Attempt) -> bool:
+        """Whether its engine may not have read this attempt, and a close costs no other that runs only once."""
+        out = self.trips.out_ms
+        if out is None or self.heard_ms >= out or self.owner.now_ms() - out < UNHEARD_MS:
+            return False
+        return all(each is attempt or each.began_ms >= self.heard_ms and not each.ticket.unsafe
+                   for each in self.attempts.values())
+
     def give_up_pages(self, now_ms: float) -> None:
         """Give up the results whose pages have stopped.
 
@@ -332,7 +341,7 @@
         link = attempt.link
         if link and link.conn.state is State.OPEN:
             place = link.place(attempt)
-            found = verdict(place, alone=len(link.attempts) == 1 and not link.probes)
+            found = verdict(place, len(link.attempts) == 1 and not link.probes, link.unheard(attempt))
             self.given_up[place.name] += 1
             if found.deed is not Deed.WITHDRAW:
                 self._cut(link, attempt, ending, found)
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -122,7 +122,7 @@
         return f"statement: {group.why}"
     arrival = api.Arrival(rid, method, now_ms + numbers["budget"], work_ms=numbers["est"], memory_mb=numbers["ram"],
                           group=group, key=fields.get("obj") or None, retried=fields.get("again") == "1")
-    return Ticket(arrival, call.body, caller, Budget(now_ms, arrival.deadline_ms))
+    return Ticket(arrival, call.body, caller, Budget(now_ms, arrival.deadline_ms), cls.effect is api.Effect.UNSAFE)
 
 
 class Abroad:
--- a/umberusher/standin/node.py
+++ b/umberusher/standin/node.py
@@ -127,12 +127,13 @@
     """One query node."""
 
     def __init__(self, loop: Loop, name: str, shape: Shape, tap: Tap, *, kind: str = "std-8", zone: str = "room-a",
-                 cancel: bool = False, cold: bool = False) -> None:
+                 cancel: bool = False, cold: bool = False, skew_ms: float = 0.0) -> None:
         self.loop, self.name, self.shape, self.tap = loop, name, shape, tap
         self.kind, self.zone, self.cancel = kind, zone, cancel
         self.faults = Faults()
         self.links: dict[int, Link] = {}
         self.serial = 0
+        self.skew_ms = skew_ms  # its clock against everyone's
         self.timer: Timer | None = None
         self.notes_timer: Timer | None = None
         self.alive = False
@@ -140,8 +141,8 @@
         self.start(cold)
 
     def now_ms(self) -> float:
-        """The loop's clock."""
-        return self.loop.clock() * 1000.0
+        """Its own clock."""
+        return self.loop.clock() * 1000.0 + self.skew_ms
 
     @property
     def address(self) -> tuple[str, int]:
--- a/umberusher/ticket.py
+++ b/umberusher/ticket.py
@@ -74,6 +74,7 @@
     statement: bytes
     caller: Caller
     budget: Budget
+    unsafe: bool = False  # it may run only once
     open: bool = True  # the final answer is still owed
     sent: int = 0  # attempts so far
     attempt: Attempt | None = None  # the one that is out
