Put teams' contracts before the decisions: budgets in work, lending, a divided ration

The module asks a hook for the ration before a further attempt; without a contract the hook is None. An upgrade hands the state over twice, SIGHUP takes a new contract whole or not at all. contract check, show, diff, simulate and statement; replays of several teams' plans.

--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -8,7 +8,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from umberusher import figures
 from umberusher import interface as api
@@ -27,6 +27,9 @@
 from umberusher.stages.send import Send
 from umberusher.stages.take_in import Form, TakeIn
 
+if TYPE_CHECKING:
+    from umberusher.stages.gate import Gate
+
 log = logging.getLogger(__name__)
 RESERVED = 48  # descriptors for listeners, the loop, the notice board, the door's callers and the standard streams
 ENGINE_PART = 0.3  # of the others, those kept for engines
@@ -52,13 +55,15 @@
 
     def __init__(self, config: Config, loop: Loop | None = None, clock: Callable[[], float] = time.time,
                  reread: Callable[[], Config] | None = None, path: str | None = None,
-                 memory_mb: Callable[[], float] = resident_mb) -> None:
+                 memory_mb: Callable[[], float] = resident_mb,
+                 gate: Callable[[Broker], Gate] | None = None) -> None:
         self.config, self.loop = config, loop or Loop()
         self.reread, self.reloading = reread, False
         self.memory_mb = memory_mb  # a test's process holds more than its broker
         self.time = Timeline(self.loop.clock, clock)
         self.now_ms = self.time.now_ms
-        self.gateway = Gateway(config.settings, config.seed)
+        self.gate = gate(self) if gate else None  # teams' contracts
+        self.gateway = Gateway(config.settings, config.seed, self.gate.may_repeat if self.gate else None)
         self.queue: deque[api.Event] = deque()
         self.pumping = False
         self.stopping_at: float | None = None
@@ -80,12 +85,15 @@
                            limits.max_retry_after_ms if limits.retry_after else None)
         self.front = TakeIn(self.loop, self.admit, self.now_ms, lambda: self.time.at_ms(self.loop.arrived), self.good,
                             descriptors - for_engines, Form(config.settings), config.memory_mb)
+        if self.gate:
+            self._join_gate(self.gate)
         self.board = NoticeBoard(self.loop, config.board, lambda: self.route.rev, self.route.take)
         self.door = Door(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.ban, self.route.unban))
         self.handover = Handover(self.loop, path, Side(
             hello=self._hello, listener=lambda: self.front.listener and self.front.listener.sock, use=self._use,
             known=self._known, news=self.route.take, ban=self._ban, clients=lambda: self.front.clients,
-            come=self.front.come, hold=self._hold))
+            come=self.front.come, hold=self._hold, teams=self._teams,
+            teams_told=lambda state: self.gate.take_over(state) if self.gate else None))
         self.route.on_ban, self.route.on_news = self.handover.tell_ban, self.handover.tell_news
         self.carry: dict[type, Callable[..., None]] = {
             api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self.book.refuse,
@@ -93,6 +101,10 @@
             api.SetTimer: self._set_timer, api.CloseIdle: lambda a: self.send.close_idle(a.engine),
             api.Remark: lambda a: log.info("module: %s", a.text)}
 
+    def _join_gate(self, gate: Gate) -> None:
+        self.admit.gate, self.book.over = gate, gate.over
+        self.front.origin = lambda conn: gate.origin(conn.sock.getsockname()[1])
+
     def good(self) -> bool:
         """Whether clients should come: the list is in, and the broker is not about to end."""
         return bool(self.route.members) and self.stopping_at is None
@@ -110,7 +122,7 @@
                 "in_flight": ("Requests taken and not yet ended.", self.book.in_flight),
                 "engines_known": ("Engines in the list.", len(members)),
                 "engines_excluded": ("Listed engines that are avoided, by hand or by judgement.", len(excluded))},
-            self.book.account, self.send.expired)
+            self.book.account, self.send.expired, self.gate.families() if self.gate else ())
 
     # -- The module
 
@@ -146,6 +158,8 @@
         if ticket is None:
             log.error("the module sent %s, which is not open", action.request)
             return
+        if self.gate and ticket.sent:
+            self.gate.repeat(ticket.rid)
         self.send.start(ticket, action.engine, action.timeout_ms)
 
     def _cancel(self, action: api.Cancel) -> None:
@@ -174,6 +188,9 @@
             self.front.listen(self.config.listen)
             self.serving = True
             self.handover.listen()
+        if self.gate:
+            for port in self.gate.whole.ports:
+                self.front.listen_more((self.config.listen[0], port))
         self.board.start()
         self._sweep()
 
@@ -188,6 +205,8 @@
             self.route.ban(engine, since)
         for engine, since in taken.fresh.items():  # guards cold engines: the board may tell no start of theirs
             self.route.freshen(engine, since)
+        if self.gate and taken.teams:
+            self.gate.take_over(taken.teams)
         self.front.adopt(taken.listener)
         self.handover.join(taken)
 
@@ -209,7 +228,11 @@
 
     def _hello(self) -> dict[str, Any]:
         return {"known": self._known(), "seen": list(self.route.seen), "banned": self.route.banned,
-                "fresh": {name: member.fresh_ms for name, member in self.route.members.items() if member.fresh_ms}}
+                "fresh": {name: member.fresh_ms for name, member in self.route.members.items() if member.fresh_ms},
+                "teams": self._teams()}
+
+    def _teams(self) -> dict[str, Any]:
+        return self.gate.state() if self.gate else {}
 
     def _use(self) -> Use:
         return Use(round(self.memory_mb(), 1), len(self.front.clients), self.send.count)
@@ -247,6 +270,8 @@
     def _reload(self) -> None:
         """Follow the notice board that the file names now; a file that can't be used changes nothing."""
         self.reloading = False
+        if self.gate:
+            self.gate.reload()
         try:
             found = self.reread() if self.reread else self.config
         except ConfigError as error:
@@ -267,6 +292,8 @@
             self.front.sweep()
             self.send.sweep()
         self.door.sweep()
+        if self.gate:
+            self.gate.sweep()
         self._share()
         if not self.serving and self.stopping_at is None:  # one that is about to end leaves the listener where it is
             self._come_in()
--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -41,6 +41,7 @@
 COMMANDS: dict[str, tuple[str, str, tuple[Option, ...]]] = {
     "serve": ("serve", "run one broker until SIGTERM", (
         _o("--log-level", default="info", choices=["debug", "info", "warning", "error"]),
+        _o("--contract", metavar="TEAMS.star", help="teams and what each was promised; needs umberusher[tools]"),
         _o("--log-format", choices=["text", "json"], help="structured log, with an event for each request that ends "
            "late, expired or left; needs structlog"))),
     "version": ("version", "print the version", ()),
@@ -65,7 +66,11 @@
     "stats": ("trace_stats", "rates, burstiness, class mix of a plan", (
         _PLAN, _o("--plots", metavar="DIR"), _o("--json", metavar="OUT"))),
     "replay": ("trace_replay", "play a plan through real brokers", (
-        _PLAN, *_PLAY, _o("--json", metavar="OUT"), _o("--report", metavar="DIR"),
+        _PLAN, *_PLAY, _o("--contract", metavar="TEAMS.star", help="brokers enforce it"),
+        _o("--team", action="append", default=[], metavar="NAME=PLAN",
+           help="a further team's plan; the first plan is the team's of --first"),
+        _o("--first", default="first", metavar="NAME", help="the team of the first plan, with --team"),
+        _o("--json", metavar="OUT"), _o("--report", metavar="DIR"),
         _o("--wire-log", metavar="OUT", help="what crossed the sockets, a JSON line each"),
         _o("--deadline-log", metavar="OUT", help="the brokers' events of requests late, expired or left"), _LOG)),
     "compare": ("trace_compare", "play a plan under several settings, in parallel", (
@@ -85,7 +90,22 @@
         _o("log", metavar="LOG", help="a broker's structured log, text or JSON"), _o("--json", metavar="OUT"),
         _o("--plot", metavar="OUT", help="waterfall of the means and of the slowest requests, SVG"))),
 }
-GROUPS = {"trace": ("read, compile and replay published cluster traces", TRACE),
+_CONTRACT = _o("contract", metavar="TEAMS.star")
+_CLASSES = _o("--classes", metavar="A,B", help="classes that there are; else any name is taken")
+CONTRACT: dict[str, tuple[str, str, tuple[Option, ...]]] = {
+    "check": ("contract_check", "read a contract and say all that is wrong with it", (_CONTRACT, _CLASSES)),
+    "show": ("contract_show", "what each team is promised on a day", (
+        _CONTRACT, _o("--day", metavar="DATE"), _o("--json", metavar="OUT"))),
+    "diff": ("contract_diff", "what another contract changes", (
+        _CONTRACT, _o("other", metavar="OTHER.star"), _o("--json", metavar="OUT"))),
+    "simulate": ("contract_simulate", "play plans through the budgets alone, without sockets", (
+        _CONTRACT, _o("--team", action="append", required=True, metavar="NAME=PLAN"),
+        _o("--brokers", type=int, default=2), _o("--json", metavar="OUT"))),
+    "statement": ("contract_statement", "promised, used, refused and its worth in a period, from brokers' logs", (
+        _CONTRACT, _o("logs", nargs="+", metavar="LOG"), _o("--json", metavar="OUT"), _o("--plot", metavar="OUT"))),
+}
+GROUPS = {"contract": ("teams and what each was promised", CONTRACT),
+          "trace": ("read, compile and replay published cluster traces", TRACE),
           "deadlines": ("what became of requests' time", DEADLINES)}
 
 
--- a/umberusher/commands/serve.py
+++ b/umberusher/commands/serve.py
@@ -59,7 +59,11 @@
                             format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     for handler in logging.getLogger().handlers:
         handler.addFilter(Sparing())
-    broker = Broker(config, reread=_config, path=socket_path(os.environ, config.listen))
+    gate = None
+    if args.contract:
+        from umberusher.commands import contracts  # Starlark and the contract come into memory only where asked for
+        gate = contracts.gate(args.contract, config.settings, tell)
+    broker = Broker(config, gate=gate, reread=_config, path=socket_path(os.environ, config.listen))
     broker.book.account.tell = tell
     signal.signal(signal.SIGHUP, lambda *_: broker.reload())
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/umberusher/commands/structured.py
+++ b/umberusher/commands/structured.py
@@ -4,12 +4,12 @@
 
 import logging
 import sys
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 import structlog
 
 
-def log_to(form: str, level: str) -> Callable[[Mapping[str, object]], None]:
+def log_to(form: str, level: str) -> Callable[..., None]:
     """Write the log in this form to standard error; gives what tells an event of a request."""
     shown = (structlog.processors.JSONRenderer() if form == "json"
              else structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"], bool_as_flag=False))
@@ -24,4 +24,4 @@
                         logger_factory=structlog.stdlib.LoggerFactory(),
                         wrapper_class=structlog.stdlib.BoundLogger, cache_logger_on_first_use=True)
     log = structlog.get_logger("umberusher.deadlines")
-    return lambda event: log.info("request", **event)
+    return lambda event, kind="request": log.info(kind, **event)
--- a/umberusher/commands/trace_replay.py
+++ b/umberusher/commands/trace_replay.py
@@ -11,6 +11,7 @@
 from umberusher.commands import tools
 from umberusher.errors import UsageError
 from umberusher.replay import trouble
+from umberusher.replay.merge import merge
 from umberusher.replay.stage import Options, replay
 from umberusher.traces.plan import Plan
 
@@ -42,6 +43,10 @@
          *(each["ends"].get(end, 0) for end in ("served", "late", "refused", "failed", "expired")),
          each["latency_ms"].get("p50", "-"), each["latency_ms"].get("p99", "-")]
         for name, each in found["by_class"].items()])
+    if found["teams"]:
+        tools.table("teams", ["team", "requests", "service", "whole", "worst 10 s"], [
+            [name, each["requests"], each["service"], each["whole"], each["worst_10s"]]
+            for name, each in found["teams"].items()])
     if found["breaches"] or found["rules_broken"]:
         tools.table("RULES BROKEN", ["rule", "times"], [[rule, n] for rule, n in found["breaches"].items()])
         for each in found["rules_broken"][:10]:
@@ -55,6 +60,11 @@
     log = tools.log_to(args.log_format)
     plan, chosen = Plan.load(args.plan), options(args)
     chosen.keep_log, chosen.keep_stories = bool(args.wire_log), bool(args.deadline_log)
+    if args.team:
+        plans = {args.first: plan} | {name: Plan.load(path) for name, _, path in (each.partition("=")
+                                                                                  for each in args.team)}
+        plan, chosen.whose = merge(plans)
+    chosen.contract = args.contract
     before = signal.signal(signal.SIGTERM, signal.default_int_handler)  # told to end: as by Ctrl-C
     with tools.progress("replaying") as bar:
         task = bar.add_task("", total=len(plan))
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -11,6 +11,7 @@
 import math
 import random
 from collections import Counter, deque
+from collections.abc import Callable
 from itertools import islice
 
 from umberusher import interface as api
@@ -130,7 +131,8 @@
 class Gateway:
     """The decisions of one gateway; instances share nothing."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int, ration: Callable[[str], bool] | None = None) -> None:
+        self.ration = ration  # whether a request's own part of the retry budget has one more
         self.settings, self.limits, self.rules = settings, settings.limits, settings.rules
         self.random = random.Random(seed)
         self.gateways = max(settings.gateways or 1, 1)
@@ -311,7 +313,7 @@
             return False
         if self._waits_turn(request):
             return False
-        return not request.sent or self._extra_left()
+        return not request.sent or self._extra_left() and (self.ration is None or self.ration(request.id))
 
     def _waits_turn(self, request: _Request) -> bool:
         """Whether an earlier request of its key goes first, or the key rests."""
--- a/umberusher/figures.py
+++ b/umberusher/figures.py
@@ -6,6 +6,7 @@
 
 from umberusher.deadlines.account import Account
 
+Labelled = tuple[str, str, str, list[tuple[dict[str, str], int]]]  # name, kind, what it tells, samples
 FINALS = ("served", "refused", "failed")
 
 
@@ -19,7 +20,8 @@
 
 
 def text(finals: Mapping[tuple[str, str], int], classes: Iterable[str], attempts: int,
-         gauges: Mapping[str, tuple[str, int]], account: Account, unsent: Mapping[str, int]) -> str:
+         gauges: Mapping[str, tuple[str, int]], account: Account, unsent: Mapping[str, int],
+         more: Iterable[Labelled] = ()) -> str:
     """All figures: final answers by class, attempts, then each gauge with what it tells, the deadlines' account."""
     classes = list(classes)
     made = [_family(f"svc_{word}_total", "counter", f"Requests {word}, by class.",
@@ -38,4 +40,8 @@
                 (f'{{{label}="{_escaped(key.lower())}"}}', value) for key, value in sorted(counted.items())]))
     made.append(_family("svc_left_work_ms_total", "counter", "Engines' work for clients who had left, as estimated.",
                         [("", round(account.wasted_ms))]))
+    for name, kind, told, samples in more:
+        made.append(_family(name, kind, told, [
+            ("{" + ",".join(f'{label}="{_escaped(key)}"' for label, key in labels.items()) + "}", value)
+            for labels, value in samples]))
     return "".join(made)
--- a/umberusher/handover.py
+++ b/umberusher/handover.py
@@ -59,6 +59,7 @@
     seen: list[str]
     banned: dict[str, float]
     fresh: dict[str, float]  # when engines were called back
+    teams: dict[str, Any] = field(default_factory=dict)  # budgets, where there are contracts
 
 
 @dataclass(slots=True)
@@ -73,6 +74,8 @@
     ban: Callable[[str, float | None], None]
     clients: Callable[[], Iterable[Client]]  # the connections that may be passed on
     come: Callable[[socket.socket, list[int], Callable[[int], None]], Client]  # one that was
+    teams: Callable[[], dict[str, Any]]
+    teams_told: Callable[[dict[str, Any]], None]
     hold: Callable[[bool], None]  # whether a successor accepts in this process's place
 
 
@@ -110,8 +113,9 @@
             raise ValueError(known.why)
         seen = [str(name) for name in hello["seen"]]
         banned, fresh = ({str(name): float(ms) for name, ms in hello[part].items()} for part in ("banned", "fresh"))
+        teams = hello.get("teams") if isinstance(hello.get("teams"), dict) else {}  # an older version has none
         listener, channel = [*(socket.socket(fileno=fd) for fd in fds), None][:2]
-        return Taken(listener, channel, link, rest, known, seen, banned, fresh)
+        return Taken(listener, channel, link, rest, known, seen, banned, fresh, teams)
     except (FileNotFoundError, ConnectionRefusedError):  # nobody there; a file may lie there still
         link.close()
         return None
@@ -237,9 +241,14 @@
             number, seqid = message["leave"]
             if number in self.clients:
                 self.clients[number].leave(int(seqid))
+        if isinstance(message.get("teams"), dict):
+            self.owner.side.teams_told(message["teams"])
         if message.get("ready") is True and self.successor and not self.ready:
             self.ready = True
             log.info("handover: the successor accepts from now on")
+            teams = self.owner.side.teams()
+            if teams:  # this process went on taking since the greeting
+                self.tell(teams=teams)
             self.owner.replaced()
 
     def _closed(self, why: str) -> None:
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -68,6 +68,8 @@
     cancel: bool = False
     skew_ms: float = 0.0  # nodes' clocks are ahead of everyone's by this, or behind, in turn
     troubles: list[Trouble] = field(default_factory=list)
+    contract: str | None = None  # a contract's file, for brokers that enforce it
+    whose: list[str] | None = None  # the team of each request of the plan
     keep_log: bool = False
     keep_stories: bool = False  # what the brokers tell of requests that end late, expired or left; step clock
     spoil: Callable[[Stage], None] | None = None  # tests break something here, to see it caught
@@ -88,6 +90,7 @@
     broker: int
     tries: int = 0
     leave_ms: float | None = None
+    told: bool = False  # it was told how long to stay away
 
 
 def _with_parent() -> None:
@@ -111,6 +114,8 @@
             frozenset(item["name"] for item in site.CLASSES if item.get("keep_order")),
             site.DRAIN_MS, site.SETTLE_MS, site.SPARE, site.RATIO, site.WINDOW_MS), options.keep_log)
         self.score, self.draw = Score(), random.Random(f"replay/{options.seed}")
+        self.team_scores: dict[str, Score] = {name: Score() for name in dict.fromkeys(options.whose or ())}
+        self.told: dict[str, list[float]] = {}  # by team: those who came back when told, and those of them taken
         self.board = Board(self.loop, self.tap)
         self.nodes: dict[str, Node] = {}
         self.brokers: list[Broker] = []
@@ -201,7 +206,11 @@
         if self.options.clock == "step":
             found = configuration.parse(raw)
             found.listen = ("127.0.0.1", 0)
-            broker = Broker(found, self.loop, self.loop.clock)
+            gate = None
+            if self.options.contract:
+                from umberusher.commands import contracts
+                gate = contracts.gate(self.options.contract, found.settings)
+            broker = Broker(found, self.loop, self.loop.clock, gate=gate)
             if self.options.keep_stories:
                 broker.book.account.tell = lambda event: self.stories.append(
                     {"event": "request", "broker": f"b{number}", "at_ms": round(self.now_ms(), 1)} | dict(event))
@@ -214,7 +223,8 @@
         path = Path(self.folder.name) / f"b{number}.json"
         path.write_text(json.dumps(raw))
         with open(Path(self.folder.name) / f"b{number}.log", "wb") as log:
-            form = ["--log-format", "json"] if self.options.keep_stories else ["--log-level", "warning"]
+            more = ["--contract", os.path.abspath(self.options.contract)] if self.options.contract else []
+            form = [*more, "--log-format", "json"] if self.options.keep_stories else ["--log-level", "warning"]
             self.children.append(subprocess.Popen(
                 [sys.executable, "-m", "umberusher", "serve", *form], stderr=log, stdout=log,
                 env=os.environ | {"LB_CONFIG": str(path), "TMPDIR": self.folder.name}, preexec_fn=_with_parent))
@@ -326,6 +336,8 @@
         body = statement(group, work_ms, memory_mb, threads, name == "load", f"{number:08x}")
         fields = {"method": name, "est": f"{work_ms * math.exp(draw.gauss(0.0, 0.4)):.1f}",
                   "ram": f"{max(memory_mb * math.exp(draw.gauss(0.0, 0.3)), 1.0):.0f}"} | ({"obj": key} if key else {})
+        if self.options.whose:
+            fields["team"] = self.options.whose[number]
         limit = settings["deadline_ms"] * draw.uniform(0.8, 1.0)
         if self.options.tight and draw.random() < self.options.tight:
             limit = 1.0 + 400.0 * draw.random() ** 2
@@ -365,11 +377,16 @@
             ask, end, answer), leave_ms=leave))
 
     def _done(self, ask: Ask, end: str, answer: Answered | None) -> None:
+        if ask.told and self.options.whose:  # it stayed away as long as it was told
+            counted = self.told.setdefault(ask.fields["team"], [0, 0])
+            counted[0] += 1
+            counted[1] += end != "refused"
         safe = ask.query_class != "load"
         again = end == "refused" or safe and end in ("failed", "exception", "lost")
         if again and ask.tries <= self.options.retries:
             told = answer.fields.get("backoff", "") if answer else ""
             wait = float(told) if told.isdigit() else PAUSE_MS
+            ask.told = end == "refused" and told.isdigit()
             if self.now_ms() + wait < ask.until_ms - 1.0:
                 self._turn(ask, self.now_ms() + wait)
                 return
@@ -378,7 +395,10 @@
     def _over(self, ask: Ask, end: str) -> None:
         self.open -= 1
         names = {"exception": "failed", "lost": "failed"}
-        self.score.ended(ask.query_class, ask.at_ms, names.get(end, end), self.now_ms() - ask.at_ms, ask.work_ms)
+        outcome = ask.query_class, ask.at_ms, names.get(end, end), self.now_ms() - ask.at_ms, ask.work_ms
+        self.score.ended(*outcome)
+        if self.options.whose:
+            self.team_scores[ask.fields["team"]].ended(*outcome)
 
     # -- Trouble
 
@@ -473,6 +493,8 @@
             "wasted_ms": round(sum(node.wasted_ms for node in self.nodes.values()), 1),
             "worked_ms": round(sum(node.worked_ms for node in self.nodes.values()), 1),
             "account": dict(sorted(self.door.items())),
+            "teams": {name: score.document() | {"came_back": self.told.get(name, [0, 0])}
+                      for name, score in self.team_scores.items()},
             "broker_log": dict(self.broker_log.most_common(20)), "digest": checker.digest,
             "key_delays": self.key_delays, "notes": dict(sorted(self.notes.items()))}
         if not kept_pace or not complete:
--- a/umberusher/stages/admit.py
+++ b/umberusher/stages/admit.py
@@ -4,12 +4,16 @@
 
 import logging
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from umberusher import interface as api
 from umberusher.stages.book import Book
 from umberusher.stages.send import Send
 from umberusher.ticket import Ticket
 
+if TYPE_CHECKING:
+    from umberusher.stages.gate import Gate
+
 log = logging.getLogger(__name__)
 
 
@@ -19,6 +23,7 @@
     def __init__(self, book: Book, send: Send, post: Callable[[api.Event], None], most: int,
                  backoff_ms: float | None) -> None:
         self.book, self.send, self.post, self.most, self.backoff_ms = book, send, post, most, backoff_ms
+        self.gate: Gate | None = None  # teams' contracts, where there are any
         self.tight = False  # memory is near its limit
 
     def take(self, ticket: Ticket) -> None:
@@ -32,10 +37,24 @@
             log.warning("request refused: the broker is at its limits")
             self.book.close(ticket, "refused")
             ticket.caller.refused(self.backoff_ms)
-        else:
+        elif self.gate is None or self._passes(ticket):
             self.book.tickets[ticket.rid] = ticket
             self.post(ticket.arrival)
 
+    def _passes(self, ticket: Ticket) -> bool:
+        """Whether the team's contract takes it; else it has its answer."""
+        why = self.gate.take(ticket)
+        if why is None:
+            return True
+        if isinstance(why, str):
+            log.warning("call turned away: %s", why)
+            self.book.close(ticket, "failed")
+            ticket.caller.failed(why)
+        else:
+            self.book.close(ticket, "refused")
+            ticket.caller.refused(None if self.backoff_ms is None else min(why.wait_ms, self.backoff_ms))
+        return False
+
     def leave(self, ticket: Ticket) -> None:
         """The client waits no more: nothing is owed, and what is out is given up."""
         if not self.book.close(ticket):
--- a/umberusher/stages/book.py
+++ b/umberusher/stages/book.py
@@ -28,6 +28,7 @@
                  classes: tuple[api.QueryClass, ...] = ()) -> None:
         self.classes = {each.name: each for each in classes}
         self.account = Account(now_ms)
+        self.over: Callable[[Ticket, bool], None] | None = None  # told of each request of which nothing is left
         self.way_ms: Callable[[str], float] = lambda engine: 0.0  # what the way to an engine takes
         self.finals: Counter[tuple[str, str]] = Counter()  # final answers, by word and class
         self.written = 0  # attempts that are whole with an engine
@@ -48,6 +49,9 @@
         if word:
             self.count(word, ticket.arrival.query_class)
         self._tell(ticket, word)
+        ticket.served = word == "served"
+        if self.over and ticket.attempt is None:
+            self.over(ticket, False)
         return True
 
     def _tell(self, ticket: Ticket, word: str) -> None:
@@ -75,6 +79,16 @@
         self.counts[word] += 1
         self.finals[word, query_class] += 1
 
+    def _took(self, attempt: Attempt, ending: Ending) -> None:
+        """Keep what an attempt took; with the last one of a closed request nothing is left of it."""
+        ticket = attempt.ticket
+        if attempt.whole_ms and not ending.never_ran:
+            cls = self.classes.get(ticket.arrival.query_class)
+            ticket.ran = True
+            ticket.took_ms += (self.now_ms() - attempt.whole_ms) * max(cls.threads if cls else 1.0, 1.0)
+        if not ticket.open and ticket.attempt is None:
+            self.over(ticket, ticket.served)
+
     def worked(self, attempt: Attempt, stopped: bool) -> None:
         """An engine works, or has worked, for a client who left."""
         arrival, budget = attempt.ticket.arrival, attempt.ticket.budget
@@ -94,6 +108,8 @@
             attempt.link.release(attempt)
         if attempt.ticket.attempt is attempt:
             attempt.ticket.attempt = None
+        if self.over:
+            self._took(attempt, ending)
         attempt.pages = {}
         if self.account.tell and attempt.ticket.open:  # it may go on, and end late
             attempt.ticket.spent = attempt.ticket.spent or {}
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -6,6 +6,7 @@
 import re
 import socket
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from umberusher import interface as api
 from umberusher.deadlines.budget import Budget
@@ -17,6 +18,9 @@
 from umberusher.stages.admit import Admit
 from umberusher.ticket import Ticket
 
+if TYPE_CHECKING:
+    from umberusher.teams.who import Origin
+
 log = logging.getLogger(__name__)
 FRAME_PART = 1 / 256  # of the memory: the largest frame
 LARGE, LARGE_PART = 1 << 15, 1 / 8  # frames over this many bytes that are under way; all together, of the memory
@@ -143,6 +147,7 @@
         self.away: Callable[[int, bytes], None] | None = None  # writes answers once another process has the connection
         self.used_ms = front.now_ms()
         self.asked = False  # a whole call has come
+        self.origin = front.origin(conn) if front.origin else None
         self.half_ms: float | None = self.used_ms  # since when a call, or the first one, is waited for
         conn.on_data, conn.on_closed = self._data, self._closed
 
@@ -228,6 +233,8 @@
             self._complain(call.seqid, "execute", thrift.PROTOCOL_ERROR, taken)
             return
         self.open[call.seqid] = taken
+        if self.front.origin:
+            taken.claim, taken.origin = call.fields.get("team"), self.origin
         self._pace()
         self.front.admit.take(taken)
 
@@ -305,6 +312,8 @@
         self.frame_most = min(int(memory_mb * 1e6 * FRAME_PART), thrift.MAX_FRAME)
         self.large_most = max(int(memory_mb * 1e6 * LARGE_PART / self.frame_most), 1)
         self.large: set[Client] = set()  # with more than LARGE bytes of an unfinished call
+        self.origin: Callable[[Connection], Origin] | None = None  # where a connection came to, if anyone asks
+        self.more: list[Listener] = []  # at further addresses
         self.clients: dict[Client, None] = {}  # in the order in which they came, so that sweeps are the same each time
         self.listener: Listener | None = None
         self.elsewhere = 0  # clients of other processes of this broker
@@ -323,6 +332,21 @@
         self.adopt(sock)
         self.hold(False)
 
+    def listen_more(self, address: tuple[str, int]) -> tuple[str, int]:
+        """Open a listener at a further address; it is not handed over, a successor opens it beside this one."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        try:
+            sock.bind(address)
+            sock.listen(1024)
+        except OSError:
+            sock.close()
+            raise
+        self.more.append(Listener(self.loop, sock, ACCEPTS, self._admit_client, self._evict))
+        self.more[-1].hold(self.held)
+        return sock.getsockname()
+
     def adopt(self, sock: socket.socket) -> None:
         """Take a listener that is open already; nothing is accepted from it yet."""
         self.listener = Listener(self.loop, sock, ACCEPTS, self._admit_client, self._evict)
@@ -331,6 +355,8 @@
         """Accept nothing for now, or go on."""
         if self.listener:
             self.listener.hold(held)
+        for each in self.more:
+            each.hold(held)
 
     @property
     def held(self) -> bool:
@@ -394,5 +420,7 @@
         if self.listener:
             self.listener.close()
             self.listener = None
+        while self.more:
+            self.more.pop().close()
         for client in list(self.clients):
             client.conn.close("the broker ends")
--- a/umberusher/ticket.py
+++ b/umberusher/ticket.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from umberusher.net.connection import Connection
     from umberusher.net.loop import Timer
+    from umberusher.teams.who import Origin
 
 
 class Reach(IntEnum):
@@ -76,8 +77,13 @@
     budget: Budget
     unsafe: bool = False  # it may run only once
     open: bool = True  # the final answer is still owed
+    served: bool = False  # its final answer was its result
     sent: int = 0  # attempts so far
     attempt: Attempt | None = None  # the one that is out
+    claim: str | None = None  # the team that it says it is of
+    origin: Origin | None = None  # where its connection came to
+    ran: bool = False  # an attempt may have run
+    took_ms: float = 0.0  # at engines, times threads
     spent: dict[str, float] | None = None  # parts of the time of attempts that brought no result
 
     @property
--- a/umberusher/traces/plots.py
+++ b/umberusher/traces/plots.py
@@ -50,7 +50,7 @@
 
 
 def waterfall(title: str, parts: Sequence[str], rows: Sequence[tuple[str, Mapping[str, float], float]], *,
-              form: str = "svg") -> bytes:
+              form: str = "svg", mark: str = "budget", x_label: str = "ms") -> bytes:
     """A bar a row, its parts one behind the other, and a mark where its budget ends; the first row on top."""
     figure = Figure(figsize=(9, 1 + 0.28 * max(len(rows), 1)))
     axes = figure.subplots()
@@ -59,9 +59,9 @@
         widths = [values.get(part, 0.0) for _, values, _ in rows]
         axes.barh(range(len(rows)), widths, left=ends, label=part, height=0.7)
         ends = [end + width for end, width in zip(ends, widths, strict=True)]
-    axes.plot([budget for *_, budget in rows], range(len(rows)), "k|", markersize=10, label="budget")
+    axes.plot([budget for *_, budget in rows], range(len(rows)), "k|", markersize=10, label=mark)
     axes.set_yticks(range(len(rows)), [name for name, *_ in rows], fontsize=7)
     axes.invert_yaxis()
-    axes.set(title=title, xlabel="ms")
+    axes.set(title=title, xlabel=x_label)
     axes.legend(fontsize=7, ncols=len(parts) + 1, loc="upper center", bbox_to_anchor=(0.5, -0.12))
     return _done(figure, form)
