--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -91,6 +91,8 @@
         self.used_ms = self.heard_ms = send.now_ms()
         self.half_ms: float | None = None  # since when there is a part of an answer; its bytes come in any pieces
         self.old = False  # of a process or an address that is no more: it ends what it carries and takes nothing new
+        self.unsafe: bool | None = None  # carries what runs only once, or what may run again; never both at a time
+        self.doubt_ms: float | None = None  # since when something given up may lie unread there
         self.suspect = False  # a probe brought nothing, and nothing else has come since
         self.trips = Trips()
         self.opened_ms = 0.0
@@ -143,6 +145,8 @@
         rid = attempt.ticket.rid
         self.retired.add(rid)
         self.tell("STOP", rid)
+        if self.doubt_ms is None:
+            self.doubt_ms = self.owner.now_ms()
         if self.owner.cancel and len(self.cancels.out) < cancels.STOPS_MOST:
             if self.cancels.stopped(rid, self.owner.now_ms(), attempt):
                 self._ask()
@@ -160,6 +164,7 @@
         self.asked = "", 0.0
         self.owner.allowances.learn(self.engine, now, now - since)
         self.trips.answered(now, now - since)
+        self.asked_ms(since)
         done, more = self.cancels.proven()
         if more:
             self._ask()
@@ -181,13 +186,17 @@
             return "half an answer"
         return ""
 
-    def unheard(self, attempt: Attempt) -> bool:
-        """Whether its engine may not have read this attempt, and a close costs no other that runs only once."""
+    def unheard(self, attempt: Attempt | None = None) -> bool:
+        """Whether its engine may not read, and a close costs nothing that runs only once but this attempt."""
         out = self.trips.out_ms
         if out is None or self.heard_ms >= out or self.owner.now_ms() - out < UNHEARD_MS:
             return False
-        return all(each is attempt or each.began_ms >= self.heard_ms and not each.ticket.unsafe
-                   for each in self.attempts.values())
+        return all(each is attempt or not each.ticket.unsafe for each in self.attempts.values())
+
+    def asked_ms(self, answered_ms: float) -> None:
+        """A probe that was written then has been answered: what was written before it has been read."""
+        if self.doubt_ms is not None and answered_ms >= self.doubt_ms:
+            self.doubt_ms = None
 
     def give_up_pages(self, now_ms: float) -> None:
         """Give up the results whose pages have stopped.
@@ -217,8 +226,10 @@
         for tag, probe in list(self.probes.items()):  # not a time-out: it tells nothing of whether the engine is silent
             self.owner.probe_ended(tag, probe, None, Ending.RESET)
 
-    def usable(self, rid: str, now_ms: float) -> bool:
-        """Whether this attempt may go over it."""
+    def usable(self, rid: str, now_ms: float, unsafe: bool | None = None) -> bool:
+        """Whether this attempt may go over it; ``unsafe`` None for a probe."""
+        if self.attempts and unsafe is not None and self.unsafe is not unsafe:
+            return False  # guards loads against closes that safe attempts need, and these against standing back
         return (not self.old and len(self.attempts) < self.owner.multiplex and rid not in self.attempts
                 and rid not in self.retired and len(self.retired) < RETIRED_MOST and not self.suspect
                 and not self.expiring(now_ms) and not self.conn.stuck())
@@ -233,6 +244,7 @@
         attempt.link = self
         attempt.reach = Reach.NOT_WRITTEN if self.conn.state is State.OPEN else Reach.NOT_CONNECTED
         self.used_ms = self.owner.now_ms()
+        self.unsafe = attempt.ticket.unsafe
         self.attempts[attempt.ticket.rid] = attempt
         message = self.messages[attempt.ticket.rid] = Outgoing(attempt, self)
         self.conn.send(message)
@@ -300,7 +312,7 @@
             # Guards drains at the socket: the news may have come after the decision.
             self.book.faulted(attempt, Fault(Reach.NOT_CONNECTED, "the engine takes nothing new"))
             return
-        link = self._pick(member, ticket.rid)
+        link = self._pick(member, ticket.rid, ticket.unsafe)
         if isinstance(link, str):
             self.book.faulted(attempt, Fault(Reach.NOT_CONNECTED, link))
             return
@@ -423,14 +435,16 @@
 
     # -- Connections
 
-    def _pick(self, member: Member, rid: str) -> Link | str | None:
+    def _pick(self, member: Member, rid: str, unsafe: bool | None = None) -> Link | str | None:
         """An open connection with room, else one that is coming up, else a new one; None without a descriptor for it.
 
         One that the engine has closed is not written to: what the kernel still takes would be in doubt for nothing.
         """
         now = self.now_ms()
-        while links := [link for link in self.links.get(member.engine, ()) if link.usable(rid, now)]:
-            link = min(links, key=lambda link: (link.conn.state is not State.OPEN, len(link.attempts)))
+        while links := [link for link in self.links.get(member.engine, ()) if link.usable(rid, now, unsafe)]:
+            # A probe goes first where something given up may lie unread: its answer is what tells.
+            link = min(links, key=lambda link: (link.conn.state is not State.OPEN,
+                                                unsafe is None and link.doubt_ms is None, len(link.attempts)))
             if not link.conn.ended():
                 return link
             link.conn.close("ended by the engine")
@@ -488,6 +502,10 @@
                 log.warning("engine %s: %s", link.engine, why)
                 link.conn.close(why)
                 continue
+            if link.doubt_ms is not None and link.unheard():
+                # Guards against work that begins late: a STOP lies behind its request, and both may be unread.
+                link.conn.abort("what was given up may lie unread")
+                continue
             link.give_up_pages(now)
             if link.suspect or link.old or len(link.retired) >= RETIRED_MOST:
                 self._close_if_idle(link)
@@ -519,6 +537,7 @@
             now = self.now_ms()
             self.allowances.learn(probing.engine, now, now - probing.began_ms)
             link.trips.answered(now, now - probing.began_ms)
+            link.asked_ms(probing.began_ms)
         if good:
             # Guards against a connection that stays open and brings nothing any more, while its engine answers others:
             # what is out on it would wait in vain. An engine that is silent on all of them may come to itself again.
--- a/umberusher/teams/admission.py
+++ b/umberusher/teams/admission.py
@@ -218,6 +218,7 @@
         at = max(now + wait, told + apart)
         if at > now + ASIDE_MOST_MS or at == float("inf"):
             return max(wait, ASIDE_MOST_MS)
+        at += 1.0  # whole milliseconds are told, and the budget must have it by then
         if state.open or state.rates:  # else there is no state to keep it in, and it would have been taken
             state.told_ms[cls] = at
         return at - now
--- a/umberusher/teams/contract.py
+++ b/umberusher/teams/contract.py
@@ -109,7 +109,8 @@
 
     def of(self, name: str, *words: str) -> str:
         """``file:line`` of the first mention of a name as a text, moved on to each word behind it while in reach."""
-        at = next((n for n, line in enumerate(self.lines) if f'"{name}"' in line or f"'{name}'" in line), None)
+        said = re.compile(rf"""["']{re.escape(name)}["']|^{re.escape(name)}\s*=""")
+        at = next((n for n, line in enumerate(self.lines) if said.search(line)), None)
         if at is None:
             return self.file
         for word in words:
@@ -129,6 +130,7 @@
     def __init__(self, places: Places, classes: frozenset[str] | None) -> None:
         self.places, self.classes = places, classes
         self.wrong: list[str] = []
+        self.last = ""  # the team that is listed last
 
     def bad(self, name: str, words: tuple[str, ...], what: str) -> None:
         """Keep an error."""
@@ -246,14 +248,13 @@
         now = contract.on(day)
         when = "" if day == date.min else f" on {day}"
         work = sum(team.work_rate for team in now.teams.values()) / 1000.0
-        last = next(reversed(list(contract.teams)), "")
         if work > contract.work_rate * NEAR / 1000.0:
             reader.bad("capacity", (), f"the teams are promised {work:g} threads of work{when}, and the capacity is "
                        f"{contract.work_rate / 1000.0:g}")
         for what, total in (("share", sum(team.share for team in now.teams.values())),
                             ("ration", sum(team.ration for team in now.teams.values()))):
             if total > NEAR:
-                reader.bad(last, (what,), f"the teams' {what}s add up to {total:.4g}{when}, more than 1")
+                reader.bad(reader.last, (what,), f"the teams' {what}s add up to {total:.4g}{when}, more than 1")
 
 
 def contract(file: str, text: str, values: Mapping[str, Any], classes: frozenset[str] | None = None) -> Contract:
@@ -273,6 +274,7 @@
                 raise ContractError(f"{file}: {kind}s[{number}] is not made by {kind}(...)")
     teams = [reader.team(item) for item in listed]
     by_name: dict[str, Team] = {}
+    reader.last = teams[-1].name
     for each in teams:
         if each.name in by_name:
             reader.bad(each.name, (), f"team {each.name} is there twice")
