--- a/umberusher/replay/site.py
+++ b/umberusher/replay/site.py
@@ -21,6 +21,7 @@
 DRAIN_MS, SETTLE_MS, SPARE, RATIO, WINDOW_MS = 250.0, 500.0, 5.0, 0.1, 10_000.0
 MIX = {"whole": 0.5, "worst_window": 0.15, "worst_class": 0.35}
 WINDOW_S = 10
+AWAY_MOST_MS = 500.0  # the longest that a refusal may tell a client to stay away
 
 
 def settings(brokers: int, position: int, cancel: bool = False) -> dict[str, Any]:
@@ -40,7 +41,7 @@
                    "size_cores": [cores for cores, _ in KINDS.values()], "tells_every_ms": 1000.0},
         "grades": [dict(item) for item in CLASSES],
         "limits": {"cancel": cancel, "connect_timeout_ms": 250.0, "keepalive_ms": 15_000.0, "max_attempts": 6,
-                   "max_open": 24_620, "max_retry_after_ms": 500.0, "multiplex": 32, "peer_messages": False,
+                   "max_open": 24_620, "max_retry_after_ms": AWAY_MOST_MS, "multiplex": 32, "peer_messages": False,
                    "probes": True, "retry_after": True, "second_copies": False},
         "machine_types": list(KINDS), "membership_mode": "automatic", "over_share_worth": 0.1, "position": position,
         "prices": {"cross_zone": 0.0089, "late_fail": 0.04, "probe": 0.01, "waste": 0.08},
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -115,7 +115,7 @@
             site.DRAIN_MS, site.SETTLE_MS, site.SPARE, site.RATIO, site.WINDOW_MS), options.keep_log)
         self.score, self.draw = Score(), random.Random(f"replay/{options.seed}")
         self.team_scores: dict[str, Score] = {name: Score() for name in dict.fromkeys(options.whose or ())}
-        self.told: dict[str, list[float]] = {}  # by team: those who came back when told, and those of them taken
+        self.told: dict[str, list[int]] = {}  # by team: who came back as told (under the bound), and was taken
         self.board = Board(self.loop, self.tap)
         self.nodes: dict[str, Node] = {}
         self.brokers: list[Broker] = []
@@ -386,7 +386,7 @@
         if again and ask.tries <= self.options.retries:
             told = answer.fields.get("backoff", "") if answer else ""
             wait = float(told) if told.isdigit() else PAUSE_MS
-            ask.told = end == "refused" and told.isdigit()
+            ask.told = end == "refused" and told.isdigit() and wait < site.AWAY_MOST_MS
             if self.now_ms() + wait < ask.until_ms - 1.0:
                 self._turn(ask, self.now_ms() + wait)
                 return
