--- a/scripts/measure_deadlines.py
+++ b/scripts/measure_deadlines.py
@@ -46,7 +46,7 @@
     return "faults = [" + ", ".join(made) + "]\n"
 
 
-def play(plan: str, case: str, cancel: bool, leave: float, seconds: float, folder: str) -> dict:
+def play(plan: str, case: str, cancel: bool, leave: float, seconds: float, folder: str, receipts: bool) -> dict:
     """One replay in a process of its own; what it counted."""
     script = Path(folder) / f"{case}-{cancel}-{leave}.star"
     script.write_text(faults(case, seconds))
@@ -57,7 +57,8 @@
 from umberusher.replay.stage import Options, replay
 from umberusher.traces.plan import Plan
 known = {{each.name for each in dataclasses.fields(Options)}}
-wanted = dict(nodes=6, tight=0.3, leave={leave}, cancel={cancel}, troubles=trouble.load({str(script)!r}))
+wanted = dict(nodes=6, tight=0.3, leave={leave}, cancel={cancel}, receipts={receipts},
+              troubles=trouble.load({str(script)!r}))
 if {case in ("skew", "all")}:
     wanted["skew_ms"] = 3000.0
 lacks = sorted(set(wanted) - known)
@@ -87,6 +88,7 @@
     parser.add_argument("--seconds", type=float, default=700.0)
     parser.add_argument("--jobs", type=int, default=6)
     parser.add_argument("--only", nargs="*", default=["plain", "delays", "slow", "stalls", "skew", "all"])
+    parser.add_argument("--receipts", action="store_true")
     parser.add_argument("--leave", type=float, default=0.2)
     args = parser.parse_args()
     total = Sum()
@@ -99,7 +101,8 @@
                            stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
         cases = [(case, cancel) for case in args.only for cancel in (False, True)]
         with ThreadPoolExecutor(args.jobs) as pool:
-            for found in pool.map(lambda each: play(plan, each[0], each[1], args.leave, args.seconds, folder), cases):
+            more = args.leave, args.seconds, folder, args.receipts
+            for found in pool.map(lambda each: play(plan, *each, *more), cases):
                 print(json.dumps(found), flush=True)
                 if "error" not in found:
                     total.attempts += found["attempts"]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,8 +11,8 @@
 def rig():
     made = []
 
-    def make(engines: int = 1, path: str | None = None, cancel: bool = False) -> Rig:
-        made.append(Rig(engines, path, cancel))
+    def make(engines: int = 1, path: str | None = None, cancel: bool = False, gate=None, receipts: bool = False) -> Rig:
+        made.append(Rig(engines, path, cancel, gate, receipts))
         return made[-1]
 
     yield make
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -40,7 +40,8 @@
 class Rig:
     """One broker with its board, engines and clients, all played by the test."""
 
-    def __init__(self, engines: int = 1, path: str | None = None, cancel: bool = False) -> None:
+    def __init__(self, engines: int = 1, path: str | None = None, cancel: bool = False,
+                 gate=None, receipts: bool = False) -> None:
         self.now = 1_700_000_000.0
         self.listeners = {name: self._listen() for name in ["board", *(f"s-{n}" for n in range(engines))]}
         self.rev, self.peers = 0, []
@@ -50,7 +51,8 @@
         parsed.listen = ("127.0.0.1", 0)
         parsed.settings.limits.cancel = cancel
         self.broker = Broker(parsed, Loop(lambda: self.now), lambda: self.now, path=path,
-                             memory_mb=lambda: MEMORY_MB)
+                             memory_mb=lambda: MEMORY_MB, gate=gate, receipts=receipts)
+        self.gate = gate
         self.brokers = [self.broker]
         self.broker.start()
         self.board = self.accept("board")
@@ -82,7 +84,7 @@
     def successor(self) -> Broker:
         """Start the program beside itself; its start waits for the greeting, so the old one's loop runs meanwhile."""
         new = Broker(self.broker.config, Loop(lambda: self.now), lambda: self.now, path=self.broker.handover.path,
-                     memory_mb=lambda: MEMORY_MB)
+                     memory_mb=lambda: MEMORY_MB, gate=self.gate)
         begun = threading.Thread(target=new.start)
         begun.start()
         self.until(lambda: not begun.is_alive())
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -376,3 +376,22 @@
     assert made.returncode == 1 and ":1: end must be one of" in made.stdout
     made = subprocess.run([*command, "/nowhere"], capture_output=True, text=True, timeout=60)
     assert made.returncode == 2 and made.stderr.count("\n") == 1
+
+
+# -- Receipts
+
+@pytest.mark.parametrize("receipt", [False, True])
+def test_a_request_without_its_receipt_at_its_end_loses_its_connection_and_one_with_it_a_stop(rig, receipt):
+    rig = rig(1, receipts=True)
+    client = rig.client()
+    rid = rig.ask(client, budget="400")
+    engine = rig.accept("s-0")
+    rig.expect(engine, b"HELO r")
+    assert engine.got.index(b"REQ " + rid.encode()) < engine.got.index(b"HELO r")
+    if receipt:
+        engine.sock.send(tag(engine) + b" PONG -\r\n")
+        rig.until(lambda: rig.broker.book.tickets[rid].attempt.read_ms)
+    rig.later(500)
+    rig.until(lambda: rid not in rig.broker.book.tickets)
+    engine.read()
+    assert engine.ended is not receipt and (b"STOP" in engine.got) is receipt
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -56,7 +56,7 @@
     def __init__(self, config: Config, loop: Loop | None = None, clock: Callable[[], float] = time.time,
                  reread: Callable[[], Config] | None = None, path: str | None = None,
                  memory_mb: Callable[[], float] = resident_mb,
-                 gate: Callable[[Broker], Gate] | None = None) -> None:
+                 gate: Callable[[Broker], Gate] | None = None, receipts: bool = False) -> None:
         self.config, self.loop = config, loop or Loop()
         self.reread, self.reloading = reread, False
         self.memory_mb = memory_mb  # a test's process holds more than its broker
@@ -80,7 +80,7 @@
         self.relay = Relay(self.book, self.post)
         self.send = Send(self.loop, self.route, self.book, self.relay, self.now_ms, self.post,
                          multiplex=config.multiplex, connect_timeout_ms=config.connect_timeout_ms,
-                         keepalive_ms=config.keepalive_ms, most=for_engines, cancel=limits.cancel)
+                         keepalive_ms=config.keepalive_ms, most=for_engines, cancel=limits.cancel, receipts=receipts)
         self.admit = Admit(self.book, self.send, self.post, config.max_open,
                            limits.max_retry_after_ms if limits.retry_after else None)
         self.front = TakeIn(self.loop, self.admit, self.now_ms, lambda: self.time.at_ms(self.loop.arrived), self.good,
@@ -92,7 +92,7 @@
         self.handover = Handover(self.loop, path, Side(
             hello=self._hello, listener=lambda: self.front.listener and self.front.listener.sock, use=self._use,
             known=self._known, news=self.route.take, ban=self._ban, clients=lambda: self.front.clients,
-            come=self.front.come, hold=self._hold, teams=self._teams,
+            come=self.front.come, hold=self._hold, teams=lambda: self.gate.later() if self.gate else {},
             teams_told=lambda state: self.gate.take_over(state) if self.gate else None))
         self.route.on_ban, self.route.on_news = self.handover.tell_ban, self.handover.tell_news
         self.carry: dict[type, Callable[..., None]] = {
--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -36,11 +36,14 @@
     _o("--leave", type=float, default=0.0, metavar="SHARE", help="share of clients that leave early (0)"),
     _o("--tight", type=float, default=0.0, metavar="SHARE", help="share of requests with up to 0.4 s only (0)"),
     _o("--skew", type=float, default=0.0, metavar="MS", help="nodes' clocks run ahead or behind by this, in turn (0)"),
+    _o("--receipts", action="store_true", help="brokers ask for a receipt of each request"),
     _o("--cancel", action="store_true", help="engines heed STOP for what runs, and brokers know it"))
 
 COMMANDS: dict[str, tuple[str, str, tuple[Option, ...]]] = {
     "serve": ("serve", "run one broker until SIGTERM", (
         _o("--log-level", default="info", choices=["debug", "info", "warning", "error"]),
+        _o("--receipts", action="store_true", help="ask for a receipt of each request: nothing begins late at engines "
+           "that read slowly, for a line more a request"),
         _o("--contract", metavar="TEAMS.star", help="teams and what each was promised; needs umberusher[tools]"),
         _o("--log-format", choices=["text", "json"], help="structured log, with an event for each request that ends "
            "late, expired or left; needs structlog"))),
--- a/umberusher/commands/serve.py
+++ b/umberusher/commands/serve.py
@@ -63,7 +63,8 @@
     if args.contract:
         from umberusher.commands import contracts  # Starlark and the contract come into memory only where asked for
         gate = contracts.gate(args.contract, config.settings, tell)
-    broker = Broker(config, gate=gate, reread=_config, path=socket_path(os.environ, config.listen))
+    broker = Broker(config, gate=gate, receipts=args.receipts, reread=_config,
+                    path=socket_path(os.environ, config.listen))
     broker.book.account.tell = tell
     signal.signal(signal.SIGHUP, lambda *_: broker.reload())
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -66,6 +66,7 @@
     leave: float = 0.0
     tight: float = 0.0  # share of requests with no more than some tenths of a second
     cancel: bool = False
+    receipts: bool = False
     skew_ms: float = 0.0  # nodes' clocks are ahead of everyone's by this, or behind, in turn
     troubles: list[Trouble] = field(default_factory=list)
     contract: str | None = None  # a contract's file, for brokers that enforce it
@@ -210,7 +211,7 @@
             if self.options.contract:
                 from umberusher.commands import contracts
                 gate = contracts.gate(self.options.contract, found.settings)
-            broker = Broker(found, self.loop, self.loop.clock, gate=gate)
+            broker = Broker(found, self.loop, self.loop.clock, gate=gate, receipts=self.options.receipts)
             if self.options.keep_stories:
                 broker.book.account.tell = lambda event: self.stories.append(
                     {"event": "request", "broker": f"b{number}", "at_ms": round(self.now_ms(), 1)} | dict(event))
@@ -224,6 +225,7 @@
         path.write_text(json.dumps(raw))
         with open(Path(self.folder.name) / f"b{number}.log", "wb") as log:
             more = ["--contract", os.path.abspath(self.options.contract)] if self.options.contract else []
+            more += ["--receipts"] if self.options.receipts else []
             form = [*more, "--log-format", "json"] if self.options.keep_stories else ["--log-level", "warning"]
             self.children.append(subprocess.Popen(
                 [sys.executable, "-m", "umberusher", "serve", *form], stderr=log, stdout=log,
--- a/umberusher/stages/gate.py
+++ b/umberusher/stages/gate.py
@@ -122,10 +122,17 @@
         """For a successor."""
         return self.teams.state(self.now_ms())
 
+    def later(self) -> dict[str, Any]:
+        """For a successor that accepts from now on: what it has not seen."""
+        return self.teams.since_greeting()
+
     def take_over(self, state: Mapping[str, Any]) -> None:
         """From the process before; what makes no sense is left, and the budgets start full."""
         try:
-            self.teams.take_over(self.now_ms(), state)
+            if "later" in state:
+                self.teams.add(self.now_ms(), state["later"])
+            else:
+                self.teams.take_over(self.now_ms(), state)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             log.warning("handover: the teams' state can't be read: %s %s", type(error).__name__, error)
 
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -67,6 +67,8 @@
         self.attempt.end = self.link.conn.sent
         self.attempt.whole_ms = self.link.owner.now_ms()
         self.link.owner.book.written += 1
+        if self.link.owner.receipts:
+            self.link.ask_receipt(self.attempt)
 
 
 @dataclass(slots=True, eq=False)
@@ -97,6 +99,7 @@
         self.trips = Trips()
         self.opened_ms = 0.0
         self.cancels: Cancels[Attempt] = Cancels()
+        self.receipts: dict[str, Attempt] = {}  # attempts whose receipt has not come, by the probe behind them
         self.asked: tuple[str, float] = "", 0.0  # the probe behind STOPs that is out: its tag, and when it was written
         conn.on_open, conn.on_data, conn.on_closed = self._opened, self._data, self._closed
         self.timer = send.loop.call_later(send.connect_timeout_ms, self._too_slow)
@@ -129,6 +132,8 @@
                 self.owner.probe_ended(reply.id, self.probes[reply.id], reply)
             elif reply.id == self.asked[0]:
                 self._proven()
+            elif reply.id in self.receipts:
+                self._receipt(self.receipts.pop(reply.id))
             else:
                 self._late(reply)
 
@@ -152,6 +157,30 @@
                 self._ask()
             self.owner.loop.call_later(cancels.UNKNOWN_MS, lambda: self._unknown(rid))
 
+    def ask_receipt(self, attempt: Attempt) -> None:
+        """Write a shallow probe behind a request: its answer is the receipt."""
+        tag = f"r{next(self.owner.tags)}"
+        self.receipts[tag] = attempt
+        self.trips.asked(attempt.whole_ms)
+        self.tell("HELO", tag)
+
+    def _receipt(self, attempt: Attempt) -> None:
+        now = attempt.read_ms = self.owner.now_ms()
+        self.owner.allowances.learn(self.engine, now, now - attempt.whole_ms)
+        self.trips.answered(now, now - attempt.whole_ms)
+        self.asked_ms(attempt.whole_ms)
+
+    def unread(self, attempt: Attempt) -> bool:
+        """Whether its engine may hold it for longer than it should, by its receipt, and a close harms none but it.
+
+        An engine counts from its own receipt: where that came later than the way that was taken off, it may begin
+        after the end, and a STOP lies in the same line of bytes.
+        """
+        if not self.owner.receipts or attempt.count:
+            return False
+        late = not attempt.read_ms or attempt.read_ms - attempt.whole_ms > attempt.way_ms
+        return late and all(each is attempt or not each.ticket.unsafe for each in self.attempts.values())
+
     def _ask(self) -> None:
         now = self.owner.now_ms()
         self.asked = f"h{next(self.owner.tags)}", now
@@ -278,7 +307,8 @@
 
     def __init__(self, loop: Loop, route: Route, book: Book, relay: Relay, now_ms: Callable[[], float],
                  post: Callable[[api.Event], None], *, multiplex: int, connect_timeout_ms: float,
-                 keepalive_ms: float, most: int, cancel: bool = False) -> None:
+                 keepalive_ms: float, most: int, cancel: bool = False, receipts: bool = False) -> None:
+        self.receipts = receipts  # a shallow probe is written behind each request
         self.cancel = cancel  # engines heed STOP for what runs
         self.loop, self.route, self.book, self.relay = loop, route, book, relay
         self.now_ms, self.post = now_ms, post
@@ -331,6 +361,7 @@
         """What the engine may be told of an attempt's time, if it went out now."""
         now = self.now_ms()
         way = max(self.allowances.of(link.engine), link.trips.delay_ms(now) + MARGIN_MS)
+        attempt.way_ms = way
         found = attempt.ticket.budget.ttl(now, way)
         # An attempt that ends before its request does: nothing begins too late for its client.
         return found if isinstance(found, Spent) else max(min(found, int(attempt.until_ms - now)), LEAST_TTL_MS)
@@ -353,7 +384,8 @@
         link = attempt.link
         if link and link.conn.state is State.OPEN:
             place = link.place(attempt)
-            found = verdict(place, len(link.attempts) == 1 and not link.probes, link.unheard(attempt))
+            found = verdict(place, len(link.attempts) == 1 and not link.probes,
+                            link.unheard(attempt) or link.unread(attempt))
             self.given_up[place.name] += 1
             if found.deed is not Deed.WITHDRAW:
                 self._cut(link, attempt, ending, found)
--- a/umberusher/teams/admission.py
+++ b/umberusher/teams/admission.py
@@ -106,6 +106,8 @@
         self.costs = Corrections()
         self.ration = Ration(*ration)
         self.threads = self.memory_mb = 0.0  # open, of all teams
+        self.charged: Counter[str] = Counter()  # work charged to each team's own budget, less what was given back
+        self.greeted: dict[str, Any] | None = None  # what had been counted when a successor was given the state
 
     # -- Time and budgets
 
@@ -197,6 +199,7 @@
     def _charge(self, now: float, team: Team, state: State, cost: float) -> None:
         """Charge a team's own work; a debt over the bound is forgiven, and counted."""
         rate, burst = self._work(team)
+        self.charged[team.name] += cost
         state.budget.take(now, cost, rate)
         if cost > 0.0:
             self.use(team.name).forgiven_ms += state.budget.forgive(now, rate, burst, rate * DEBT_S * 1000.0)
@@ -321,6 +324,7 @@
     def state(self, now_ms: float) -> dict[str, Any]:
         """For a successor: all times as what has passed or is to come."""
         now = self._now(now_ms)
+        self.greeted = self._counted()
         return {
             "teams": {name: {"full": max(state.budget.full_ms - now, 0.0),
                              "rates": {cls: max(each.full_ms - now, 0.0) for cls, each in state.rates.items()}}
@@ -328,7 +332,7 @@
             "pool": self.pool.level, "costs": self.costs.state(), "ration": self.ration.state(now)}
 
     def take_over(self, now_ms: float, state: Mapping[str, Any]) -> None:
-        """From the process before, which may go on charging: of two levels the lower one counts."""
+        """From the process before; this one has taken nothing yet."""
         now = self._now(now_ms)
         for name, each in state["teams"].items():
             team = self.contract.teams.get(name)
@@ -346,6 +350,37 @@
         self.costs.take_over(state["costs"])
         self.ration.take_over(state["ration"], now)
 
+    def _counted(self) -> dict[str, Any]:
+        return {"charged": dict(self.charged), "own": {name: Counter(use.own) for name, use in self.uses.items()},
+                "taken": {name: sum(use.own.values()) + sum(use.borrowed.values()) for name, use in self.uses.items()},
+                "extra": {name: sum(use.retries.values()) for name, use in self.uses.items()}}
+
+    def since_greeting(self) -> dict[str, Any]:
+        """What was charged and counted since a successor was given the state: it has not seen that."""
+        now, then = self._counted(), self.greeted
+        if then is None:
+            return {}
+        return {"later": {name: {
+            "charged": now["charged"].get(name, 0.0) - then["charged"].get(name, 0.0),
+            "own": dict(now["own"][name] - then["own"].get(name, Counter())),
+            "taken": now["taken"][name] - then["taken"].get(name, 0),
+            "extra": now["extra"][name] - then["extra"].get(name, 0)} for name in self.uses}}
+
+    def add(self, now_ms: float, later: Mapping[str, Any]) -> None:
+        """What the process before has charged since it gave its state."""
+        now = self._now(now_ms)
+        for name, each in later.items():
+            team = self.contract.teams.get(name)
+            if team is None:
+                continue
+            state = self.states.setdefault(name, State())
+            self._charge(now, team, state, float(each["charged"]))
+            for cls, count in each["own"].items():
+                if cls in team.terms:
+                    state.rates.setdefault(cls, Budget()).take(now, float(count), self._rate(team.terms[cls])[0])
+            self.ration.add(name, team.ration, now, int(each["taken"]), int(each["extra"]))
+            self._forget(now, name, state)
+
     # -- Figures
 
     def debt(self, now_ms: float, name: str) -> float:
--- a/umberusher/teams/ration.py
+++ b/umberusher/teams/ration.py
@@ -73,6 +73,12 @@
         now = self._slice(now_ms)
         self._of(team, part, now).add(now, 1, 0)
 
+    def add(self, team: str, part: float, now_ms: float, taken: int, extra: int) -> None:
+        """Count what another process of this broker has taken and tried."""
+        if taken or extra:
+            now = self._slice(now_ms)
+            self._of(team, part, now).add(now, taken, extra)
+
     def _idle_part(self, asking: str, now: int) -> float:
         """Parts of teams that have done nothing in the window, together; forgets those."""
         for team in [team for team, (slices, _) in self.active.items() if team != asking and (
--- a/umberusher/ticket.py
+++ b/umberusher/ticket.py
@@ -108,6 +108,8 @@
     size: int = 0  # bytes of the pages that have come
     begun_ms: float = 0.0  # when it was made into bytes
     whole_ms: float = 0.0  # when its last byte was with the kernel
+    way_ms: float = 0.0  # that was taken off the time that its engine was told
+    read_ms: float = 0.0  # when its receipt came, where those are asked for
     answered_ms: float = 0.0  # when its first page came
     heard_ms: float = 0.0  # when the last one came
     end: int = 0  # where its last byte stands in what its connection has written, once whole
