--- a/umberusher/commands/trace_replay.py
+++ b/umberusher/commands/trace_replay.py
@@ -25,7 +25,8 @@
     if not 0 <= args.leave <= 1 or not 0 <= args.tight <= 1:
         raise UsageError("--leave, --tight: expected a share from 0 to 1")
     return Options(args.clock, args.seed, args.nodes, args.brokers, args.retries, args.leave, args.tight,
-                   cancel=args.cancel, skew_ms=args.skew, receipts=args.receipts, troubles=trouble.load(args.faults) if args.faults else [])
+                   cancel=args.cancel, skew_ms=args.skew, receipts=args.receipts,
+                   troubles=trouble.load(args.faults) if args.faults else [])
 
 
 def show(found: dict[str, Any]) -> None:
