--- a/scripts/explore_life.py
+++ b/scripts/explore_life.py
@@ -23,9 +23,9 @@
     found = explore()
     print(f"model: {found.states} states, {found.steps} steps, depth {found.depth}, {len(found.wrong)} wrong")
     bad = list(found.wrong)
-    for unsafe in (False, True):
-        count, events, differs = play_all(depth, unsafe, traces, lambda text: print(text, flush=True))
-        kind = "load" if unsafe else "safe"
+    for unsafe, cancel in ((False, False), (True, False), (False, True), (True, True)):
+        count, events, differs = play_all(depth, unsafe, traces, lambda text: print(text, flush=True), cancel)
+        kind = ("load" if unsafe else "safe") + (", cancels allowed" if cancel else "")
         print(f"{kind}: {count} traces of depth {depth}, {events} events, {len(differs)} differ")
         print(*differs[:20], sep="\n")
         bad += differs
--- a/scripts/measure_teams.py
+++ b/scripts/measure_teams.py
@@ -9,7 +9,9 @@
 
     surge      the quiet teams' service, in points, against alone: within 2 with contracts, and what it is without
     lend       the first team is idle: requests served of the others with contracts and without; then it comes back
-    retries    the surging team's clients try again and again: further attempts granted to quiet teams, alone and not
+    retries    the surging team's clients try again and again, and nodes reset connections: of the further attempts that
+               a quiet team wanted, how many it was granted, alone and not
+    uneven     nobody surges, and the front sends more to one broker: what the contract refuses for that
 """
 
 from __future__ import annotations
@@ -67,26 +69,31 @@
     return found
 
 
-def play(plans: dict[str, Plan], path: str | None, seed: int, retries: int = 1, sick: bool = False) -> dict:
+def play(plans: dict[str, Plan], path: str | None, seed: int, retries: int = 1, sick: bool = False,
+         uneven: float = 0.0) -> dict:
     """One replay: by team, what its clients got and what the brokers did."""
     from umberusher.replay.trouble import Trouble
     whole, whose = merge(plans)
     resets = range(5, int(whole.seconds), 4) if sick else ()
     troubles = [Trouble("reset", f"n-{n}", at) for at in resets for n in range(3)]
-    stage = Stage(whole, Options(nodes=6, seed=seed, contract=path, whose=whose, retries=retries, troubles=troubles))
-    repeats: dict[str, int] = {}
+    stage = Stage(whole, Options(nodes=6, seed=seed, contract=path, whose=whose, retries=retries, troubles=troubles,
+                                 uneven=uneven))
+    repeats: dict[str, list[int]] = {}
+    refused: dict[str, int] = {}
     stage_count = stage._count
 
     def count(broker):
         stage_count(broker)
         if broker.gate:
             for team, use in broker.gate.teams.uses.items():
-                repeats[team] = repeats.get(team, 0) + sum(use.retries.values())
+                granted, denied = repeats.get(team, [0, 0])
+                repeats[team] = [granted + sum(use.retries.values()), denied + use.denied]
+                refused[team] = refused.get(team, 0) + sum(use.refused.values())
 
     stage._count = count
     stage.play()
     found = stage.document()
-    return {"breaches": found["breaches"], "repeats": repeats, "teams": {team: {
+    return {"breaches": found["breaches"], "repeats": repeats, "refused": refused, "teams": {team: {
         "service": each["service"], "requests": each["requests"], "came_back": each["came_back"],
         "served": sum(each["by_second"]["served"]) + sum(each["by_second"]["late"]),
         "by_second": each["by_second"]["served"]} for team, each in found["teams"].items()}}
@@ -100,7 +107,8 @@
     if extra.get("idle"):  # water sleeps until the last third
         plans["water"] = only_after(plans["water"], seconds * 2 / 3)
     return {"label": label, "seed": seed, "times": times} | play(
-        {team: plans[team] for team in teams}, path, seed, extra.get("retries", 1), extra.get("sick", False))
+        {team: plans[team] for team in teams}, path, seed, extra.get("retries", 1), extra.get("sick", False),
+        extra.get("uneven", 0.0))
 
 
 def only_after(plan: Plan, seconds: float) -> Plan:
@@ -116,7 +124,7 @@
     parser.add_argument("--seconds", type=float, default=120.0)
     parser.add_argument("--jobs", type=int, default=6)
     parser.add_argument("--times", type=int, nargs="*", default=[5, 10])
-    parser.add_argument("--case", nargs="*", default=["surge", "lend", "retries"])
+    parser.add_argument("--case", nargs="*", default=["surge", "lend", "retries", "uneven"])
     args = parser.parse_args()
     folder = tempfile.mkdtemp(prefix="umberusher-teams-")
     jobs = []
@@ -134,6 +142,9 @@
         if "lend" in args.case:
             jobs += [(f"idle, {name}", *more, 5, list(RATES), path, {"idle": True})
                      for name, path in (("contract", lend), ("none", None))]
+        if "uneven" in args.case:
+            jobs += [(f"uneven {share}", *more, 1, list(RATES), path, {"uneven": share})
+                     for share in (0.0, 0.3, 0.6) for path in (refuse,)]
         if "retries" in args.case:
             jobs += [("retries, alone", *more, 1, ["water"], refuse, {"sick": True}),
                      ("retries, with parks", *more, 10, ["water", "parks"], refuse, {"sick": True})]
@@ -149,7 +160,8 @@
             if found["label"] == "contract" and loss:
                 worst = max(worst, *loss.values())
             print(json.dumps({"label": found["label"], "seed": found["seed"], "times": found["times"], "loss": loss,
-                              "breaches": found["breaches"], "repeats": found["repeats"]} | {
+                              "breaches": found["breaches"], "repeats": found["repeats"],
+                              "refused": found["refused"]} | {
                 team: {key: value for key, value in each.items() if key != "by_second"}
                 for team, each in found["teams"].items()}), flush=True)
     print(f"most that a quiet team lost with contracts: {worst} points")
--- a/tests/life_player.py
+++ b/tests/life_player.py
@@ -159,12 +159,12 @@
     return struct.pack(">i", len(body)) + body
 
 
-def play_all(depth: int, unsafe: bool, traces, say=lambda text: None) -> tuple[int, int, list[str]]:
+def play_all(depth: int, unsafe: bool, traces, say=lambda text: None, cancel: bool = False) -> tuple[int, int, list[str]]:
     """Play traces; how many, how many events happened, and what differed."""
     count = events = 0
     differs = []
     for trace in traces(depth, unsafe):
-        rig = Rig(2)
+        rig = Rig(2, cancel=cancel)
         try:
             player = Player(rig, unsafe)
             events += player.play(trace)
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -28,9 +28,10 @@
     assert "sent again what must run once" in {why for *_, why in explore(careless).wrong}
 
 
+@pytest.mark.parametrize("cancel", [False, True])
 @pytest.mark.parametrize("unsafe", [False, True])
-def test_the_stages_do_what_the_model_allows(unsafe):
-    count, events, differs = play_all(DEPTH, unsafe, traces)
+def test_the_stages_do_what_the_model_allows(unsafe, cancel):
+    count, events, differs = play_all(DEPTH, unsafe, traces, cancel=cancel)
     assert differs == [] and count > 60 and events > count
 
 
--- a/tests/test_teams.py
+++ b/tests/test_teams.py
@@ -341,7 +341,8 @@
                 mine, theirs = (h.states[each].budget.level(at, rate, burst) if each in h.states else burst
                                 for h, at in ((house, now), (new, now + 777.0)))
                 assert theirs == pytest.approx(mine, abs=1e-3)
-                assert new.may_repeat(now + 777.0, each) or not house.may_repeat(now, each)
+                assert bool(new.ration.allows(each, team.ration, now + 777.0)) or not house.ration.allows(
+                    each, team.ration, now)
             assert new.pool.level == pytest.approx(house.pool.level)
         assert house.threads == pytest.approx(sum(each.threads for each in open_))
         for each in "abc":
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -71,6 +71,7 @@
     troubles: list[Trouble] = field(default_factory=list)
     contract: str | None = None  # a contract's file, for brokers that enforce it
     whose: list[str] | None = None  # the team of each request of the plan
+    uneven: float = 0.0  # share of the requests without a key that the front sends to the first broker anyway
     keep_log: bool = False
     keep_stories: bool = False  # what the brokers tell of requests that end late, expired or left; step clock
     spoil: Callable[[Stage], None] | None = None  # tests break something here, to see it caught
@@ -344,6 +345,8 @@
         if self.options.tight and draw.random() < self.options.tight:
             limit = 1.0 + 400.0 * draw.random() ** 2
         broker = (xxhash.xxh3_64_intdigest(key.encode()) if key else draw.getrandbits(16)) % len(self.clients)
+        if self.options.uneven and not key and draw.random() < self.options.uneven:
+            broker = 0
         at_ms = self.now_ms()
         # Mostly early: half of those who leave do so within an eighth of their time.
         leaves = max(limit * 0.9 * draw.random() ** 3, 1.0) if draw.random() < self.options.leave else None
--- a/umberusher/stages/gate.py
+++ b/umberusher/stages/gate.py
@@ -75,7 +75,7 @@
     def may_repeat(self, rid: str) -> bool:
         """Whether the ration of the team that asked has a further attempt."""
         charge = self.charges.get(rid)
-        return charge is None or self.teams.may_repeat(self.now_ms(), charge.team.name)
+        return charge is None or self.teams.may_repeat(self.now_ms(), charge)
 
     def repeat(self, rid: str) -> None:
         """A further attempt is made."""
@@ -102,7 +102,7 @@
                 "team": name, "unix_ms": round(self.unix_ms()), "own": dict(use.own), "borrowed": dict(use.borrowed),
                 "refused": dict(use.refused), "served": dict(use.served), "work_ms": round(use.work_ms),
                 "borrowed_ms": round(use.borrowed_ms), "forgiven_ms": round(use.forgiven_ms),
-                "worth": round(use.worth, 1), "retries": dict(use.retries), "marked": use.marked})
+                "worth": round(use.worth, 1), "retries": dict(use.retries), "marked": use.marked, "denied": use.denied})
 
     def reload(self) -> None:
         """Take the contract's file as it is now, whole or not at all."""
@@ -147,8 +147,9 @@
         sums: dict[str, dict[tuple[str, str], int]] = {name: {} for name in kinds}
         for number, (name, use) in enumerate(self.teams.uses.items()):
             label = name if number < LABELS_MOST else "others"
+            retries = {**use.retries} | ({"denied": use.denied} if use.denied else {})
             for kind, counted in (("taken", use.own), ("borrowed", use.borrowed), ("refused", use.refused),
-                                  ("retries", use.retries)):
+                                  ("retries", retries)):
                 for key, value in counted.items():
                     sums[kind][label, key] = sums[kind].get((label, key), 0) + value
             sums["work_ms"][label, ""] = sums["work_ms"].get((label, ""), 0) + round(use.work_ms)
--- a/umberusher/teams/admission.py
+++ b/umberusher/teams/admission.py
@@ -53,6 +53,7 @@
     memory_mb: float
     at_ms: float
     settled: bool = False
+    denied: bool = False  # a further attempt was wanted, and the ration had none
 
 
 @dataclass(slots=True, frozen=True)
@@ -76,6 +77,7 @@
     forgiven_ms: float = 0.0
     worth: float = 0.0
     retries: Counter[str] = field(default_factory=Counter)  # further attempts, by right; denied where there was none
+    denied: int = 0  # requests for which there was no further attempt when one was first wanted
     marked: int = 0  # requests that were clients' own retries
 
 
@@ -280,10 +282,14 @@
 
     # -- Further attempts
 
-    def may_repeat(self, now_ms: float, name: str) -> bool:
-        """Whether the team's ration has a further attempt."""
-        team = self.contract.teams.get(name)
-        return team is None or bool(self.ration.allows(name, team.ration, self._now(now_ms)))
+    def may_repeat(self, now_ms: float, charge: Charge) -> bool:
+        """Whether the ration of a request's team has a further attempt; it is asked again while the request waits."""
+        name, team = charge.team.name, self.contract.teams.get(charge.team.name)
+        found = team is None or bool(self.ration.allows(name, team.ration, self._now(now_ms)))
+        if not found and not charge.denied:
+            charge.denied = True
+            self.use(name).denied += 1
+        return found
 
     def repeat(self, now_ms: float, name: str) -> None:
         """A further attempt is made."""
--- a/umberusher/teams/contract.py
+++ b/umberusher/teams/contract.py
@@ -10,7 +10,7 @@
 import math
 import re
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from datetime import date
 from typing import Any
 
@@ -53,16 +53,13 @@
     ports: tuple[int, ...] = ()
     names: tuple[str, ...] = ()  # of client certificates
     proof: bool = False  # a claim alone is not believed
+    work_rate: float = field(init=False)  # milliseconds of one thread a second that it was promised
+    work_burst: float = field(init=False)  # the same at once
 
-    @property
-    def work_rate(self) -> float:
-        """Milliseconds of one thread a second that it was promised."""
-        return sum(each.rate * each.work_ms for each in self.terms.values())
-
-    @property
-    def work_burst(self) -> float:
-        """The same at once."""
-        return sum(each.burst * each.work_ms for each in self.terms.values())
+    def __post_init__(self) -> None:
+        """Summed up once: every decision asks for them."""
+        object.__setattr__(self, "work_rate", sum(each.rate * each.work_ms for each in self.terms.values()))
+        object.__setattr__(self, "work_burst", sum(each.burst * each.work_ms for each in self.terms.values()))
 
 
 @dataclass(slots=True, frozen=True)
--- a/umberusher/teams/costs.py
+++ b/umberusher/teams/costs.py
@@ -37,6 +37,7 @@
 
     value: float = 1.0
     since: int = 0
+    seen: int = 0
     ratios: dict[str, Ratio] | None = None  # by team, the one heard of last at the end
 
 
@@ -57,7 +58,8 @@
         ratio.took += FADE * (took - ratio.took) if ratio.seen else took
         ratio.seen += 1
         norm.since += 1
-        if norm.since >= NORM_EVERY or norm.value == 1.0:
+        norm.seen += 1
+        if norm.since >= NORM_EVERY or norm.seen <= 4 * NORM_EVERY:
             norm.since, norm.value = 0, self._median(norm)
         return took / norm.value
 
