--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -34,6 +34,7 @@
 HALF_MS, HALF_MOST_MS = 500.0, 1_500.0  # without a further byte of an answer that has begun, and for all of it
 DEAD_MS = 2_500.0  # silence of a connection in doubt; engines that work tell of each query every second
 UNHEARD_MS = 250.0  # a probe's silence, from which on a request given up may lie unread
+UNREAD_MS = 20.0  # beyond the way, by which a receipt may be late
 PAGES_MS = 1_500.0  # for the next page of a result that has begun
 
 
@@ -150,6 +151,8 @@
         rid = attempt.ticket.rid
         self.retired.add(rid)
         self.tell("STOP", rid)
+        if self.owner.receipts and not attempt.read_ms:
+            self.owner.loop.call_later(attempt.way_ms + UNREAD_MS + 1.0, lambda: self.look_again(attempt))
         if self.doubt_ms is None:
             self.doubt_ms = self.owner.now_ms()
         if self.owner.cancel and len(self.cancels.out) < cancels.STOPS_MOST:
@@ -164,6 +167,11 @@
         self.trips.asked(attempt.whole_ms)
         self.tell("HELO", tag)
 
+    def look_again(self, attempt: Attempt) -> None:
+        """Its receipt has not come in the time that it should take: it lies unread, and would begin late."""
+        if not attempt.read_ms and self.conn.state is State.OPEN and self.unread(attempt):
+            self.conn.abort("a request that was given up lies unread")
+
     def _receipt(self, attempt: Attempt) -> None:
         now = attempt.read_ms = self.owner.now_ms()
         self.owner.allowances.learn(self.engine, now, now - attempt.whole_ms)
@@ -178,7 +186,8 @@
         """
         if not self.owner.receipts or attempt.count:
             return False
-        late = not attempt.read_ms or attempt.read_ms - attempt.whole_ms > attempt.way_ms
+        seen = attempt.read_ms or self.owner.now_ms()
+        late = seen - attempt.whole_ms > attempt.way_ms + UNREAD_MS
         return late and all(each is attempt or not each.ticket.unsafe for each in self.attempts.values())
 
     def _ask(self) -> None:
--- a/umberusher/teams/admission.py
+++ b/umberusher/teams/admission.py
@@ -4,10 +4,11 @@
 what flows over, the corrections of estimates and the divided ration. A broker enforces its part of a contract, one by
 the fleet's size. A team that has used nothing lately has no state: an idle budget is a full one.
 
-A request is taken as its team's own where the team has the rate, the work and the share. Else it is overflow: where
-the contract lends, it is taken out of the pool while the whole is not full. A refusal says how long the wait is until
-the team's own budget has what the request costs, each refused one behind the one before: a crowd that is told the same
-moment would be refused again at that moment.
+A request is taken as its team's own where the team has the rate and the work, and is within its share or the whole is
+not full: a share counts once there is a crowd. Else it is overflow: where the contract lends, it is taken out of the
+pool while the whole is not full. A refusal says how long the wait is until the team's own budget has what the request
+costs, each refused one behind the one before: a crowd that is told the same moment would be refused again at that
+moment.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
 from umberusher.teams.ration import Ration
 
 POOL_S = 0.5  # of the capacity: what borrowers may still take once the owners are back
+LENT_ROOM = 0.65  # of what may be open at once, up to which work is lent: owners who come back find room
 DEBT_S = 2.0  # of the promise: the most that a team can owe
 ASIDE_MOST_MS = 10_000.0  # that a told wait can lie ahead
 FREED_FADE = 1 / 16
@@ -158,8 +160,10 @@
         class_budget = state.rates.get(cls) or Budget()
         why = self._lacks(now, team, state, class_budget, cost, threads, memory, (rate, burst, work, work_burst))
         lent = False
+        if why is Reason.SHARE and self._room(threads, memory, 1.0):
+            why = None
         if why is not None:
-            lent = team.overflow == "lend" and self._room(threads, memory) and self.pool.draw(cost)
+            lent = team.overflow == "lend" and self._room(threads, memory, LENT_ROOM) and self.pool.draw(cost)
             if not lent:
                 use.refused[why.value] += 1
                 return Refusal(why, self._wait(now, team, state, cls, class_budget, cost, threads, why))
@@ -195,8 +199,8 @@
         """The larger share of threads or memory (dominant-resource fairness, Ghodsi and others 2011)."""
         return max(threads / (self.contract.threads * self.part), memory_mb / (self.contract.memory_mb * self.part))
 
-    def _room(self, threads: float, memory: float) -> bool:
-        return self._dominant(self.threads + threads, self.memory_mb + memory) <= 1.0
+    def _room(self, threads: float, memory: float, part: float) -> bool:
+        return self._dominant(self.threads + threads, self.memory_mb + memory) <= part
 
     def _charge(self, now: float, team: Team, state: State, cost: float) -> None:
         """Charge a team's own work; a debt over the bound is forgiven, and counted."""
