--- a/tests/life_player.py
+++ b/tests/life_player.py
@@ -159,7 +159,8 @@
     return struct.pack(">i", len(body)) + body
 
 
-def play_all(depth: int, unsafe: bool, traces, say=lambda text: None, cancel: bool = False) -> tuple[int, int, list[str]]:
+def play_all(depth: int, unsafe: bool, traces, say=lambda text: None,
+             cancel: bool = False) -> tuple[int, int, list[str]]:
     """Play traces; how many, how many events happened, and what differed."""
     count = events = 0
     differs = []
--- a/umberusher/pg/codec.py
+++ b/umberusher/pg/codec.py
@@ -152,7 +152,7 @@
     return found
 
 
-def message(side: Side, name: str, **values: Any) -> bytes:
+def message(side: Side, name: str, /, **values: Any) -> bytes:
     """A message's bytes; ValueError, KeyError or struct.error where the values are not of its kind."""
     kind = BY_NAME[side][name]
     body = b"".join(_write(each, values[field]) for field, each in kind.fields)
