--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -34,7 +34,7 @@
 HALF_MS, HALF_MOST_MS = 500.0, 1_500.0  # without a further byte of an answer that has begun, and for all of it
 DEAD_MS = 2_500.0  # silence of a connection in doubt; engines that work tell of each query every second
 UNHEARD_MS = 250.0  # a probe's silence, from which on a request given up may lie unread
-UNREAD_MS = 20.0  # beyond the way, by which a receipt may be late
+UNREAD_MS = 3.0  # beyond the way, by which a receipt may be late
 PAGES_MS = 1_500.0  # for the next page of a result that has begun
 
 
