--- a/umberusher/teams/admission.py
+++ b/umberusher/teams/admission.py
@@ -26,7 +26,8 @@
 from umberusher.teams.ration import Ration
 
 POOL_S = 0.5  # of the capacity: what borrowers may still take once the owners are back
-LENT_ROOM = 0.65  # of what may be open at once, up to which work is lent: owners who come back find room
+LENT_ROOM = 0.65  # of what may be open at once, up to which work is lent while all owners are there
+ACTIVE_MOST = 64  # teams that are looked through for that; with more of them some are always there
 DEBT_S = 2.0  # of the promise: the most that a team can owe
 ASIDE_MOST_MS = 10_000.0  # that a told wait can lie ahead
 FREED_FADE = 1 / 16
@@ -163,7 +164,8 @@
         if why is Reason.SHARE and self._room(threads, memory, 1.0):
             why = None
         if why is not None:
-            lent = team.overflow == "lend" and self._room(threads, memory, LENT_ROOM) and self.pool.draw(cost)
+            lent = team.overflow == "lend" and self._room(threads, memory, self._lent_room(name)) and (
+                self.pool.draw(cost))
             if not lent:
                 use.refused[why.value] += 1
                 return Refusal(why, self._wait(now, team, state, cls, class_budget, cost, threads, why))
@@ -202,6 +204,17 @@
     def _room(self, threads: float, memory: float, part: float) -> bool:
         return self._dominant(self.threads + threads, self.memory_mb + memory) <= part
 
+    def _lent_room(self, borrower: str) -> float:
+        """Up to how much of what may be open work is lent: what is kept free is for owners that are there.
+
+        They have bursts beyond their share. One that is away needs none of it: on its return its share is its own.
+        """
+        if len(self.states) > ACTIVE_MOST:
+            return LENT_ROOM
+        teams = self.contract.teams
+        here = sum(teams[name].share for name in self.states if name != borrower and name in teams)
+        return 1.0 - (1.0 - LENT_ROOM) * min(here / max(1.0 - teams[borrower].share, 1e-9), 1.0)
+
     def _charge(self, now: float, team: Team, state: State, cost: float) -> None:
         """Charge a team's own work; a debt over the bound is forgiven, and counted."""
         rate, burst = self._work(team)
