Decide which PostgreSQL session serves whom: pins, statements, cleaning, drains

A transaction pins one to its client, a client that leaves has it rolled back before anyone else gets it, what lasts beyond a transaction is discarded, prepared statements are bounded and their names never used again, a drain closes what is idle. 4 tests and a stateful one of 150 runs of 40 steps whose invariant is that no unclean session is idle.

--- /dev/null
+++ b/tests/test_pg_pool.py
@@ -0,0 +1,130 @@
+"""The pool of a node's PostgreSQL sessions: whom they serve, what they have prepared, and that none is used unclean."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, invariant, rule
+
+from umberusher.pg import pool
+from umberusher.pg.pool import Cleaning, Pool, ServerSession, Standing
+
+
+def test_a_transaction_pins_its_session_and_its_end_frees_it():
+    found = Pool(2)
+    one, two = found.open(), found.open()
+    found.up(one)
+    found.up(two)
+    assert found.take("kim") is one
+    assert found.ready(one, "T", True) is Cleaning.NOTHING and one.standing is Standing.PINNED
+    assert found.take("lee") is two and found.take("lou") is None and found.full
+    assert found.take("kim") is one
+    assert found.ready(one, "I", True) is Cleaning.NOTHING and found.take("lou") is one
+
+
+def test_a_client_that_leaves_in_a_transaction_has_it_rolled_back_before_the_session_is_used_again():
+    found = Pool(2)
+    one = found.open()
+    found.up(one)
+    found.take("kim")
+    found.ready(one, "T", True)
+    assert found.left("kim") == [(one, Cleaning.ROLLBACK)] and found.take("lee") is None
+    assert found.cleaned(one, "I") is Cleaning.NOTHING and found.take("lee") is one
+    assert found.left("lee") == [(one, Cleaning.CLOSE)] and not found.sessions
+
+
+def test_statements_are_bounded_and_names_are_never_used_again(monkeypatch):
+    monkeypatch.setattr(pool, "STATEMENTS_MOST", 3)
+    one = ServerSession(1)
+    names = [one.prepare(f"select {n}") for n in range(3)]
+    assert one.has("select 0") == names[0][0]
+    name, old = one.prepare("select 9")
+    assert old == names[1][0] and name not in [each for each, _ in names] and one.has("select 1") is None
+    one.unprepared("select 9")
+    assert one.has("select 9") is None and one.prepare("select 9")[0] != name
+
+
+def test_a_drain_closes_what_is_idle_and_the_others_when_they_are_over():
+    found = Pool(4)
+    one, two, three = found.open(), found.open(), found.open()
+    found.up(one)
+    found.up(two)
+    assert found.take("kim") in (one, two)
+    busy = one if one.owner else two
+    found.ready(busy, "T", True)
+    assert len(found.drain()) == 2 and found.full and found.take("lee") is None
+    assert found.take("kim") is busy  # its transaction ends where it is
+    assert found.ready(busy, "I", True) is Cleaning.CLOSE and not found.sessions and three.standing is Standing.CLOSED
+
+
+class Life(RuleBasedStateMachine):
+    """Clients take, end, leave; the server answers; the node drains."""
+
+    sessions = Bundle("sessions")
+    clients = st.sampled_from(["kim", "lee", "lou"])
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.pool, self.inside, self.dirty = Pool(3), {}, set()  # sessions in whose transaction; touched ones
+
+    @rule(target=sessions)
+    def open(self):
+        if self.pool.full:
+            return None
+        return self.pool.open()
+
+    @rule(found=sessions)
+    def up(self, found):
+        if found:
+            self.pool.up(found)
+
+    @rule(client=clients)
+    def take(self, client):
+        pinned = [each for each, owner in self.inside.items() if owner == client]
+        got = self.pool.take(client)
+        if got is not None:
+            assert got.standing is Standing.BUSY and got.owner == client
+            assert self.inside.get(got, client) == client and (got not in self.dirty or got in pinned)
+            assert not pinned or got in pinned
+
+    @rule(found=sessions, state=st.sampled_from("ITE"), wanted=st.booleans(), touches=st.booleans())
+    def ready(self, found, state, wanted, touches):
+        if not found or found.standing is not Standing.BUSY:
+            return
+        found.touched = found.touched or touches
+        if found.touched:
+            self.dirty.add(found)
+        owner = found.owner
+        self.inside.pop(found, None)
+        what = self.pool.ready(found, state, wanted)
+        if state != "I":
+            self.inside[found] = owner
+            assert what is (Cleaning.NOTHING if wanted else Cleaning.ROLLBACK)
+
+    @rule(found=sessions, state=st.sampled_from("IIE"))
+    def cleaned(self, found, state):
+        if found and found.standing is Standing.UNCLEAN:
+            self.pool.cleaned(found, state)
+            if state == "I":
+                self.inside.pop(found, None)
+                self.dirty.discard(found)
+
+    @rule(client=clients)
+    def left(self, client):
+        self.pool.left(client)
+        assert all(each.owner != client or each.standing is Standing.UNCLEAN for each in self.pool.sessions.values())
+
+    @rule()
+    def drain(self):
+        self.pool.drain()
+
+    @invariant()
+    def nothing_unclean_is_idle(self):
+        for each in self.pool.sessions.values():
+            if each.standing is Standing.IDLE:
+                assert each not in self.inside and each not in self.dirty and each.owner is None
+        assert len(self.pool.sessions) <= self.pool.most
+
+
+TestLife = Life.TestCase
+TestLife.settings = settings(max_examples=150, stateful_step_count=40, deadline=None, derandomize=True)
--- a/umberusher/pg/session.py
+++ b/umberusher/pg/session.py
@@ -154,7 +154,7 @@
 
 
 class FrontSession:
-    """One client. ``feed`` takes its bytes, the calls below are the owner's answers, ``events`` are to be carried out."""
+    """One client. ``feed`` takes its bytes, the calls below are the owner's answers, ``events`` wait for the owner."""
 
     def __init__(self, pid: int, secret: bytes) -> None:
         self.decoder = Decoder(Side.FRONT, starting=True)
