--- a/umberusher/stages/book.py
+++ b/umberusher/stages/book.py
@@ -59,6 +59,8 @@
         arrival, attempt = ticket.arrival, ticket.attempt
         cls = self.classes.get(arrival.query_class)
         aim = None if cls is None else cls.aim_ms + cls.aim_stretch * (arrival.work_ms or 0.0) / max(cls.threads, 1.0)
+        if word == "served" and (aim is None or self.now_ms() - ticket.budget.taken_ms <= aim):
+            return  # in time: nothing to tell, and most requests cost no more than this
         asked = Asked(ticket.rid, arrival.query_class, ticket.budget.taken_ms, ticket.budget.until_ms, arrival.work_ms,
                       aim, attempt.engine if attempt else "", ticket.sent)
         moments = attempt.moments() if attempt else None
