--- a/umberusher/pg/session.py
+++ b/umberusher/pg/session.py
@@ -350,7 +350,7 @@
         self._over("not let in")
 
     def more(self) -> list[Message]:
-        """Messages of the open request that were not handed on yet."""
+        """Messages of the open request that were not handed on yet; none where they went with those before."""
         if not self.groups or not self.groups[0].asked:
             return []
         group = self.groups[0]
