Let a team that lends have more of a class out of its own work

Rates over the promise are now taken out of a team's own work first where its contract lends; one that refuses overflow is held to its rates as before.

--- a/umberusher/teams/admission.py
+++ b/umberusher/teams/admission.py
@@ -163,7 +163,11 @@
         lent = False
         if why is Reason.SHARE and self._room(threads, memory, 1.0):
             why = None
-        if why is not None:
+        # More of a class than was promised, out of the team's own work: nobody else's is touched. Where keys send a
+        # class to one broker, that broker's part of the rate is too small though the team is within its contract.
+        exchanged = (why is Reason.RATE and team.overflow == "lend" and self._room(threads, memory, 1.0)
+                     and state.budget.has(now, cost, work, work_burst))
+        if why is not None and not exchanged:
             lent = team.overflow == "lend" and self._room(threads, memory, self._lent_room(name)) and (
                 self.pool.draw(cost))
             if not lent:
@@ -175,7 +179,8 @@
             state.lent_ms += cost
         else:
             use.own[cls] += 1
-            class_budget.take(now, 1.0, rate)
+            if not exchanged:
+                class_budget.take(now, 1.0, rate)
             state.rates[cls] = class_budget
             self._charge(now, team, state, cost)
         state.open += 1
