Hold what is read right after a slow node wakes up to be as old as what dripped

Of the breaches left with slow readers those looked into were requests that had lain in a node's buffers and were read at once when its slowness ended.

--- a/umberusher/standin/node.py
+++ b/umberusher/standin/node.py
@@ -25,6 +25,7 @@
 DRIP_MS, SLOW_BUFFER = 100.0, 2_304
 NOTES_MS, REPORT_MS = 1_000.0, 200.0
 KEPT_REPORTS = 64
+STALE_MS = 250.0
 
 
 @dataclass(slots=True)
@@ -61,6 +62,7 @@
         self.pages: dict[str, list[bytes]] = {}
         self.due_ms = 0.0  # before which nothing further is taken: what is delayed stays in order
         self.dripping = False
+        self.stale_ms = -1.0  # until when what is read may have lain here since it dripped
         conn.on_data, conn.on_closed = self._data, self._closed
 
     def _data(self) -> None:
@@ -100,6 +102,7 @@
         size = self.node.faults.slow_bytes
         if not size:
             self.dripping = False
+            self.stale_ms = self.node.now_ms() + STALE_MS
             self.conn.pause(False)
             self.conn.process()
             return
@@ -252,7 +255,7 @@
         rid, now = command.id, self.now_ms()
         ttl = command.fields.get("ttl", "")
         known = work_of(command.body)
-        self.tap("dripped" if link.dripping else "req", self.name, link.serial, rid, command.fields.get("lane", ""),
+        self.tap("dripped" if link.dripping or now < link.stale_ms else "req", self.name, link.serial, rid, command.fields.get("lane", ""),
                  int(ttl) if ttl.isdigit() else -1)
         if known is None or not ttl.isdigit() or rid in link.jobs:
             self._reply(link, rid, "FAULT")
