--- a/umberusher/standin/node.py
+++ b/umberusher/standin/node.py
@@ -255,8 +255,8 @@
         rid, now = command.id, self.now_ms()
         ttl = command.fields.get("ttl", "")
         known = work_of(command.body)
-        self.tap("dripped" if link.dripping or now < link.stale_ms else "req", self.name, link.serial, rid, command.fields.get("lane", ""),
-                 int(ttl) if ttl.isdigit() else -1)
+        self.tap("dripped" if link.dripping or now < link.stale_ms else "req", self.name, link.serial, rid,
+                 command.fields.get("lane", ""), int(ttl) if ttl.isdigit() else -1)
         if known is None or not ttl.isdigit() or rid in link.jobs:
             self._reply(link, rid, "FAULT")
             return
