--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -318,8 +318,9 @@
         self.listener: Listener | None = None
         self.elsewhere = 0  # clients of other processes of this broker
 
-    def listen(self, address: tuple[str, int]) -> None:
-        """Open the listener; OSError where the address can't be had."""
+    @staticmethod
+    def _bound(address: tuple[str, int]) -> socket.socket:
+        """A listening socket; OSError where the address can't be had."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)  # the way out for an upgrade without a link
@@ -329,20 +330,16 @@
         except OSError:
             sock.close()
             raise
-        self.adopt(sock)
+        return sock
+
+    def listen(self, address: tuple[str, int]) -> None:
+        """Open the listener; OSError where the address can't be had."""
+        self.adopt(self._bound(address))
         self.hold(False)
 
     def listen_more(self, address: tuple[str, int]) -> tuple[str, int]:
         """Open a listener at a further address; it is not handed over, a successor opens it beside this one."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        try:
-            sock.bind(address)
-            sock.listen(1024)
-        except OSError:
-            sock.close()
-            raise
+        sock = self._bound(address)
         self.more.append(Listener(self.loop, sock, ACCEPTS, self._admit_client, self._evict))
         self.more[-1].hold(self.held)
         return sock.getsockname()
