--- a/tests/test_teams.py
+++ b/tests/test_teams.py
@@ -356,6 +356,7 @@
             assert (state.open if state else 0) == len(mine)
             assert (state.lent_ms if state else 0.0) == pytest.approx(sum(c.cost for c in mine if c.lent), abs=1e-6)
             assert house.use(each).work_ms == pytest.approx(used[each])
+            assert house.charged[each] <= used[each] + sum(charge.cost for charge in mine) + 1e-3
             assert house.debt(now, each) <= house.contract.teams[each].work_rate * DEBT_S + 1e-6
         assert 0 <= house.pool.level <= house.contract.work_rate * POOL_S + 1e-6
 
