--- a/scripts/measure_teams.py
+++ b/scripts/measure_teams.py
@@ -13,6 +13,8 @@
                the last third it comes back
     retries    the surging team's clients try again and again, and nodes reset connections: of the further attempts that
                a quiet team wanted, how many it was granted, alone and not
+    return     the same with the surge going on when the idle team comes back: what it asked in the first second of its
+               return, and what was served of that in time (``first``)
     uneven     nobody surges, and the front sends more to one broker: what the contract refuses for that
 """
 
@@ -111,6 +113,8 @@
         "service": each["service"], "requests": each["requests"], "came_back": each["came_back"],
         "served": sum(each["by_second"]["served"]) + sum(each["by_second"]["late"]),
         "in_time": sum(each["by_second"]["served"]), "whole": each["whole"],
+        "first": next(([asked, served] for asked, served in zip(
+            each["by_second"]["arrivals"], each["by_second"]["served"], strict=True) if asked), [0, 0]),
         "by_second": each["by_second"]["served"]} for team, each in found["teams"].items()}}
 
 
@@ -118,7 +122,7 @@
     """A job of the pool."""
     label, folder, seed, seconds, times, teams, path, extra = job
     plans = {team: Plan.load(f"{folder}/{seed}-{team}.plan") for team in RATES}
-    plans["parks"] = surged(plans["parks"], times, seconds / 3, seconds * 2 / 3)
+    plans["parks"] = surged(plans["parks"], times, seconds / 3, seconds * extra.get("until", 2 / 3))
     if extra.get("idle"):  # water sleeps until the last third
         plans["water"] = only_after(plans["water"], seconds * 2 / 3)
     return {"label": label, "seed": seed, "times": times} | play(
@@ -139,7 +143,7 @@
     parser.add_argument("--seconds", type=float, default=120.0)
     parser.add_argument("--jobs", type=int, default=6)
     parser.add_argument("--times", type=int, nargs="*", default=[5, 10])
-    parser.add_argument("--case", nargs="*", default=["surge", "lend", "retries", "uneven"])
+    parser.add_argument("--case", nargs="*", default=["surge", "lend", "return", "retries", "uneven"])
     args = parser.parse_args()
     folder = tempfile.mkdtemp(prefix="umberusher-teams-")
     jobs = []
@@ -157,6 +161,8 @@
         if "lend" in args.case:
             jobs += [(f"idle, {name}", *more, 5, list(RATES), path, {"idle": True})
                      for name, path in (("contract", lend), ("none", None))]
+        if "return" in args.case:
+            jobs += [("return", *more, 5, list(RATES), lend, {"idle": True, "until": 5 / 6})]
         if "uneven" in args.case:
             jobs += [(f"uneven {share}", *more, 1, list(RATES), path, {"uneven": share})
                      for share in (0.0, 0.3, 0.6) for path in (refuse,)]
