--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 import socket
@@ -350,3 +351,21 @@
     (tmp_path / "s" / "in").mkdir(parents=True)  # a folder stands where the socket would
     made = rig(1, str(tmp_path / "s"))
     assert made.broker.ready() and made.broker.handover.listener is None and os.listdir(tmp_path) == ["s"]
+
+
+def test_where_unix_sockets_are_refused_a_broker_serves_and_says_once_that_upgrades_are_off(
+        rig, tmp_path, monkeypatch, caplog):
+    made = socket.socket
+
+    def refused(family=socket.AF_INET, *args, **more):
+        if family == socket.AF_UNIX:
+            raise OSError(errno.EAFNOSUPPORT, os.strerror(errno.EAFNOSUPPORT))
+        return made(family, *args, **more)
+
+    monkeypatch.setattr(handover.socket, "socket", refused)
+    rig = rig(1, str(tmp_path / "s"))
+    client, rid, engine = rig.begun()
+    engine.sock.send(f"{rid} HIT count=1 6\r\na\t1\t2\n\r\n".encode())
+    assert b"a\t1\t2\n" in rig.answer(client)
+    assert [record.getMessage().startswith("handover: no upgrade without a break") for record in caplog.records
+            if "handover" in record.getMessage()] == [True]
--- a/umberusher/handover.py
+++ b/umberusher/handover.py
@@ -90,7 +90,10 @@
 
     It waits, and for a bounded time: the loop does not run yet, and a start must not hang on a peer that does.
     """
-    link = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    try:
+        link = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    except OSError:  # no Unix sockets here: nobody can be there, and listening tells of it
+        return None
     fds: list[int] = []
     try:
         until = clock() + HELLO_S
@@ -276,14 +279,16 @@
         """Lay this process's own socket over the path, in one step: there is always one to be found."""
         if self.path is None or self.listener is not None:
             return
-        sock, made = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM), f"{self.path}.{os.getpid()}"
+        sock, made = None, f"{self.path}.{os.getpid()}"
         mask = os.umask(0o177)  # only this user's processes may take the listener
         try:
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
             sock.bind(made)
             sock.listen(PEERS_MOST)
             os.rename(made, self.path)
-        except OSError as error:  # also a path that is too long for a socket
-            sock.close()
+        except OSError as error:  # also where Unix sockets are refused, or the path is too long for one
+            if sock:
+                sock.close()
             with contextlib.suppress(OSError):
                 os.unlink(made)
             log.warning("handover: no upgrade without a break, %s: %s", self.path, error)
