Draw engines held for equal by lot, with the query itself counted in their load

Cause: Gateway._choose (umberusher/decide.py) kept the first engine of least load. 200 gateways send 5 queries a second each and probe an engine once in 80 s, so nearly all engines have no report and score alike, at the mean; the first of the list drawn won at every gateway. With two gateways reports come each second and ties are rare. Ruled out: slowness and odds (uniform in the count), zones (the module knows none here). Changed: equals are drawn by lot, and the query's own threads a core count, so that among equals the larger engine goes first. The room is judged as before. Test fails without the change.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 
 from tests.helpers import COLD, Bench, make_settings, only
@@ -93,3 +95,21 @@
         for send in only(actions, api.Send):
             bench.finish(send, api.Ending.ERROR, closed=True)
     assert min(engine.odds - odds[engine.id] for engine in bench.gateway.engines.values()) < 0
+
+
+def test_gateways_that_know_nothing_spread_over_the_list_and_by_cores():
+    """Found at 200 gateways: between engines held for equal the first of the list won, at all gateways the same one."""
+    settings, found = make_settings(gateways=200), Counter()
+    settings.kinds = (api.EngineKind("k", 8), api.EngineKind("large", 16))
+    for seed in range(400):
+        bench = Bench(settings, 0, seed)
+        bench.feed(api.EngineList(tuple(
+            bench.entry(f"e{n}", kind="large" if n % 3 == 0 else "k") for n in range(60)), complete=True))
+        for _ in range(5):
+            _, actions = bench.arrive()
+            for send in only(actions, api.Send):
+                found[int(send.engine[1:])] += 1
+    total = sum(found.values())
+    assert total == 2000
+    assert 0.45 < sum(found[n] for n in range(30)) / total < 0.55
+    assert 0.42 < sum(found[n] for n in range(0, 60, 3)) / total < 0.58  # of all cores, half are the large ones'
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -453,12 +453,12 @@
             self._survey()
         chance = self.random.random
         drawn = [e for e in self.up if chance() < e.odds and self._fit(request, e)] or self._two(request)
-        best, least = None, math.inf
-        for engine in drawn:
-            load = self._load(engine)
-            if load < least:
-                best, least = engine, load
-        return best if best and (least < self._room(request) or self._own_room(request)) else None
+        if not drawn:
+            return None
+        # With the query itself counted, and by lot between equals: gateways that know little hold most engines for
+        # equal, and the first of the list, the same for all, would get what all of them send.
+        best = min(drawn, key=lambda e: (self._load(e) + request.cls.threads / e.cores, chance()))
+        return best if self._load(best) < self._room(request) or self._own_room(request) else None
 
     def _fit(self, request: _Request, engine: _Engine, strict: bool = True) -> bool:
         """Whether an engine may be a candidate: by the gate, by its health, and for this very query."""
