Stake five windows of a cold engine's share where gateways look at it seldom

Of the new ones' capacity some 15% was used; from 15 s on 22% of the requests were refused. Cause: Gateway._cold_room (umberusher/decide.py). A gateway's share of the budget is 30 ms of work in 1.5 s; it draws a cold engine once in some 8 s, and what it staked then was half a window of its share, whatever time had passed. Changed: where the share is less than a query, up to five windows (8 s between two looks, 1.5 s a window) are staked. Test fails without the change.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -113,3 +113,30 @@
     assert total == 2000
     assert 0.45 < sum(found[n] for n in range(30)) / total < 0.55
     assert 0.42 < sum(found[n] for n in range(0, 60, 3)) / total < 0.58  # of all cores, half are the large ones'
+
+
+def test_gateways_that_look_seldom_use_a_cold_engine_too():
+    """Found at 200 gateways: each drew a cold engine once in 8 s, and staked half a window of its share then."""
+    gateways, seconds = 150, 8
+    benches = [Bench(make_settings(rules=api.Rules(**COLD), gateways=gateways), 0, seed=number)
+               for number in range(gateways)]
+    start, sent = benches[0].now, []
+    for bench in benches:
+        bench.feed(api.EngineList((bench.entry("cold", started_ms=start), *(
+            bench.entry(f"e{n}", started_ms=start - 1e6) for n in range(39))), complete=True))
+        for usual in bench.gateway.usual.values():
+            usual.work = 200.0
+    for step in range(seconds * 5):
+        for number, bench in enumerate(benches):
+            bench.now = start + 200 * step + number
+            _, actions = bench.arrive()
+            for send in only(actions, api.Send):
+                if send.engine == "cold":
+                    sent.append((bench.now, bench.gateway.usual["short"].work))
+                bench.finish(send, elapsed=200.0)
+    budgets = []
+    for first in range(0, 1000 * (seconds - 1), 100):
+        window = sum(work for at, work in sent if start + first <= at <= start + first + 1000)
+        budgets.append(2 * 0.85 * 8 * (0.4 + 0.6 * first / 10_000) * 1000)
+        assert window <= budgets[-1]
+    assert sum(work for _, work in sent) > 0.08 * sum(budgets) / len(budgets) * seconds
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -68,6 +68,7 @@
 # -- Cold start (share)
 COLD_PART, COLD_CHANCE = 0.55, 0.4  # part used of this gateway's share; part of that left to chance
 COLD_SAVED, COLD_LARGEST = 0.5, 0.9  # windows of its share saved up; largest query, of the whole budget
+COLD_STAKED = 5.0  # windows staked where the share is less than a query: looks of so many gateways lie that far apart
 CAPACITY = 0.85  # a core's output that counts as capacity
 # -- Rhythm
 TICK_MS = 20.0  # how often held queries are tried again at the least; no timer runs where none is held
@@ -363,16 +364,15 @@
         window = rules.tip_multiple * CAPACITY * engine.cores * min(warmth, 1.0) * rules.fall_ms
         cost, share = self._work(request), window / self.gateways
         share *= COLD_PART * (1 - COLD_CHANCE * cost / (cost + share))
-        passed = min((self.now - max(engine.cold_at, engine.born)) / max(rules.fall_ms, 1.0), 1.0)
+        passed = (self.now - max(engine.cold_at, engine.born)) / max(rules.fall_ms, 1.0)
         engine.cold_at = self.now
-        engine.cold_credit = min(engine.cold_credit + share * passed, COLD_SAVED * share)
+        staked = COLD_SAVED * share < min(usual.work for usual in self.usual.values())
+        engine.cold_credit = min(engine.cold_credit + share * passed, (COLD_STAKED if staked else COLD_SAVED) * share)
         if cost > COLD_LARGEST * window:
             return False
-        if engine.cold_credit < cost:
-            least = min(usual.work for usual in self.usual.values())
-            if COLD_SAVED * share >= least or self.random.random() * cost >= engine.cold_credit:
-                engine.cold_credit *= COLD_SAVED * share >= least  # kept for a cheaper query, else lost
-                return False
+        if engine.cold_credit < cost and (not staked or self.random.random() * cost >= engine.cold_credit):
+            engine.cold_credit *= not staked  # kept for a cheaper query, else lost
+            return False
         engine.cold_credit = max(engine.cold_credit - cost, 0.0)
         engine.ticket = request
         return True
