Call clients to a start only once the notice board has spoken

Cause: Broker.good (umberusher/broker.py) answered check with yes as soon as the configuration's list was in, which is as old as the start took, 0.3 s here and 0.25 s of drain_grace_ms with 50 ms of slack; NoticeBoard's first poll was not yet answered. Changed: yes only once the board has answered, or after FRESH_S; a successor of an upgrade waits for the same word. The first poll of a connection lingers 20 ms for 200, so that a start is held up no longer than that.

--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -10,6 +10,7 @@
 
 from tests.test_codecs import execute
 from umberusher import config
+from umberusher.broker import FRESH_S
 from umberusher.ticket import Reach
 
 
@@ -547,3 +548,16 @@
     engine.sock.send(first.encode() + b" PART pos=1 6\r\nb\t1\t2\n\r\n")  # late: nobody waits for it
     engine.sock.send(second.encode() + b" HIT count=1 6\r\nc\t1\t2\n\r\n")
     assert b"c\t1\t2\n" in rig.answer(client)
+
+
+def test_clients_are_called_once_the_board_has_spoken_or_has_had_its_time(rig):
+    """Found in a fleet whose brokers were killed: one sent at once to an engine that had drained meanwhile."""
+    rig = rig(1)
+    rig.broker.board.heard = False
+    assert not rig.broker.good()
+    rig.news(("s-0", "s-0", "SERVING"))
+    assert rig.broker.good()
+    rig.broker.board.heard = False
+    assert not rig.broker.good()
+    rig.now += FRESH_S + 0.1
+    assert rig.broker.good()
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -39,7 +39,7 @@
 LINGER_S = 1.0  # after SIGTERM new requests go on coming for 0.6 s
 LEAVE_S = 5.0  # after SIGTERM a process with a successor has the longest deadline, at most this, and 0.7 s
 LEAVE_OPEN_S, LEAVE_LAST_S = 0.25, 0.45  # beyond that time: when what is open is ended, and when the process ends
-FRESH_S = 3.0  # a successor waits no longer than this for the notice board's first word
+FRESH_S = 3.0  # a start waits no longer than this for the notice board's first word
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -106,8 +106,13 @@
         self.front.origin = lambda conn: gate.origin(conn.sock.getsockname()[1])
 
     def good(self) -> bool:
-        """Whether clients should come: the list is in, and the broker is not about to end."""
-        return bool(self.route.members) and self.stopping_at is None
+        """Whether clients should come: the list is in, as new as can be had, and the broker is not about to end.
+
+        Guards drains: what the configuration knows is as old as the start took, and the board may have told more since.
+        A board that says nothing holds a start up for a bounded time only.
+        """
+        fresh = self.board.heard or self.loop.clock() - self.started_at > FRESH_S
+        return bool(self.route.members) and fresh and self.stopping_at is None
 
     def ready(self) -> bool:
         """Whether this process can serve."""
@@ -211,11 +216,8 @@
         self.handover.join(taken)
 
     def _come_in(self) -> None:
-        """Accept once the list is as new as the board's: what was handed over may be older than the board's last word.
-
-        A board that says nothing holds a successor up for a bounded time only.
-        """
-        if self.route.members and (self.board.heard or self.loop.clock() - self.started_at > FRESH_S):
+        """Accept once the list is as new as the board's: what was handed over may be older than its last word."""
+        if self.good():
             self.serving = True
             self.front.hold(False)
             self.handover.say_ready()
--- a/umberusher/noticeboard.py
+++ b/umberusher/noticeboard.py
@@ -12,7 +12,7 @@
 
 log = logging.getLogger(__name__)
 LINGER_MS = 2_000  # of one poll: what the board tells counts as told after 7 s, so silence must show long before
-FIRST_MS = 200  # of the first poll on a connection: what is known may be old, and a silent board shows soon
+FIRST_MS = 20  # of the first poll on a connection: what is known may be old, and a start waits for its answer
 SILENT_MS = 700.0  # beyond that an answer is not coming any more
 RETRY_MS, RETRY_MOST_MS = 50.0, 400.0  # wait before a further new connection, doubling; the first comes at once
 BUFFER = 1 << 16
