--- a/scripts/measure_cost.py
+++ b/scripts/measure_cost.py
@@ -43,7 +43,14 @@
     return (int(fields[11]) + int(fields[12])) / TICKS
 
 
-def play(root: str, more: list[str], requests: int, rate: float) -> dict[str, float]:
+def held(pid: int) -> tuple[float, int]:
+    """What a process holds: memory of its own in MB, and descriptors."""
+    _, resident, shared, *_ = map(int, Path(f"/proc/{pid}/statm").read_text().split())
+    return (resident - shared) * os.sysconf("SC_PAGE_SIZE") / 1e6, len(os.listdir(f"/proc/{pid}/fd"))
+
+
+def play(root: str, more: list[str], requests: int, rate: float, engines: int = 6,
+         brokers: int = 1) -> dict[str, float]:
     """One broker of a version under load."""
     loop = Loop(time.time)
 
@@ -51,25 +58,26 @@
         """Nothing is checked here."""
 
     board = Board(loop, quiet)
-    nodes = [Node(loop, f"n-{n}", Shape(8, 16_384.0), quiet) for n in range(6)]
+    nodes = [Node(loop, f"n-{n}", Shape(8, 16_384.0), quiet) for n in range(engines)]
     board.tell([board.entry(node, "SERVING") for node in nodes], reset=True, late=False)
     host, port = board.listen("b0")
     address = free_address()
     raw = {"name": "b0", "listen": f"{address[0]}:{address[1]}", "seed": "0000000000000001", "board": f"{host}:{port}",
            "known": board.known(), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-           "settings": site.settings(1, 0)}
+           "settings": site.settings(brokers, 0)}
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "b0.json"
         path.write_text(json.dumps(raw))
         child = subprocess.Popen([sys.executable, "-m", "umberusher", "serve", "--log-level", "error", *more], cwd=root,
                                  env=os.environ | {"LB_CONFIG": str(path), "TMPDIR": folder})
-        clients = Clients(loop, "b0", address, quiet)
+        clients, begun_s = Clients(loop, "b0", address, quiet), time.time()
         try:
             while not clients.good:
                 if child.poll() is not None:
                     raise SystemExit("the broker did not start")
                 clients.ask_check()
-                loop.step(50)
+                loop.step(5)
+            ready_s = time.time() - begun_s
             latencies: list[float] = []
             counted = {"served": 0, "other": 0}
 
@@ -96,6 +104,7 @@
                 due = (first + number / rate - time.time()) * 1e3 if number < requests else 20.0
                 loop.step(max(min(due, 20.0), 0.0))
             spent = cpu_s(child.pid) - spent
+            memory_mb, descriptors = held(child.pid)
         finally:
             child.send_signal(signal.SIGTERM)
             clients.close()
@@ -106,7 +115,9 @@
             loop.close()
     latencies.sort()
     return {"cpu_us": spent / (requests - warm) * 1e6, "p50_ms": latencies[len(latencies) // 2],
-            "p99_ms": latencies[int(len(latencies) * 0.99)], "served": counted["served"] / requests}
+            "p99_ms": latencies[int(len(latencies) * 0.99)], "served": counted["served"] / requests,
+            "ready_s": ready_s, "memory_mb": memory_mb, "descriptors": descriptors,
+            "engines": sum(node.worked_ms > 0 for node in nodes)}
 
 
 def main() -> int:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -7,8 +7,13 @@
 import pytest
 
 from tests.helpers import COLD, LOOKUP, Bench, make_settings, only
+from tests.test_config import CONF
+from umberusher import cli, config
 from umberusher import interface as api
+from umberusher.commands import tools
 from umberusher.decide import Gateway
+from umberusher.errors import UsageError
+from umberusher.stages import route
 
 
 def test_an_idle_gateway_asks_for_no_timer():
@@ -200,3 +205,67 @@
     bench.now += 10_000
     _, actions = bench.arrive("costly", wait=15_000)
     assert not only(actions, api.Send) and only(actions, api.Probe)
+
+
+def many(rig, count: int, state: str = "SERVING", reset: bool = False):
+    """A notice of so many engines, all at one address."""
+    return rig.notice(*[(f"e-{number:05d}", "s-0", state) for number in range(count)], reset=reset)
+
+
+@pytest.mark.parametrize("count", [1024, 5000])
+def test_a_long_list_loads_and_changes_without_an_engine_left_out(rig, count):
+    rig = rig()
+    broker = rig.broker
+    broker.route.take(many(rig, count, reset=True))
+    assert len(broker.route.members) == len(broker.gateway.up) == count
+    broker.route.take(many(rig, count // 2, "DRAINING"))
+    assert len(broker.gateway.up) == count - count // 2
+    broker.route.take(many(rig, count // 2, "DELETED"))
+    assert len(broker.route.members) == len(broker.gateway.engines) == count - count // 2
+    broker.route.take(many(rig, count, reset=True))
+    assert len(broker.gateway.up) == count
+    known = config.parse(CONF | {"known": broker._known()}).known
+    assert len(known[0].entries) == count and not known[0].skipped
+
+
+def test_a_successor_is_told_a_long_list_whole(rig, tmp_path):
+    old = rig(1, path=str(tmp_path / "b.sock"))
+    old.broker.route.take(many(old, 5000))
+    new = old.successor()
+    assert new.route.members.keys() == old.broker.route.members.keys() and len(new.gateway.up) == 5001
+
+
+def test_1024_engines_of_1024_gateways_are_all_used():
+    bench = Bench(make_settings(gateways=1024), engines=1024)
+    used = Counter()
+    for _ in range(12_000):
+        bench.now += 1
+        for send in only(bench.arrive()[1], api.Send):
+            used[send.engine] += 1
+            bench.finish(send)
+    assert len(used) == 1024 and max(used.values()) < 5 * 12
+
+
+def test_more_bans_than_are_kept_are_told_of(rig, caplog):
+    broker = rig().broker
+    names = [f"gone-{number}" for number in range(route.BANS_MOST + 1)]
+    for name in names:
+        broker.route.remember(name)
+        broker.route.ban(name)
+    assert len(broker.route.banned) == route.BANS_MOST and names[0] not in broker.route.banned
+    assert "ban of gone-0, which is not listed, dropped: 1024 are kept" in caplog.text
+
+
+@pytest.mark.parametrize("command", [["trace", "replay", "none", "--nodes"], ["trace", "replay", "none", "--brokers"],
+                                     ["contract", "simulate", "none", "--brokers"]])
+@pytest.mark.parametrize("count, told", [("1024", "none: "), ("1025", "expected 1 to 1,024, got 1,025"),
+                                         ("0", "got 0")])
+def test_commands_take_1024_of_each_and_say_where_that_ends(command, count, told, capsys):
+    assert cli.main([*command, count, *(["--team", "a=none"] if command[0] == "contract" else [])]) == 2
+    assert told in capsys.readouterr().err
+
+
+def test_a_replay_that_needs_more_descriptors_than_there_may_be_says_how_many(monkeypatch):
+    monkeypatch.setattr(tools.resource, "getrlimit", lambda _: (256, 256))
+    with pytest.raises(UsageError, match="1,000 descriptors are needed at the least, .* allows this process 256"):
+        tools.descriptors(1000)
--- a/umberusher/commands/contract_simulate.py
+++ b/umberusher/commands/contract_simulate.py
@@ -47,8 +47,7 @@
 
 def run(args: argparse.Namespace) -> int:
     """Print a table."""
-    if not 1 <= args.brokers <= 20:
-        raise UsageError("--brokers: 1 to 20")
+    tools.parties("--brokers", args.brokers)
     pairs = [each.partition("=") for each in args.team]
     if not all(mark for _, mark, _ in pairs):
         raise UsageError("--team: expected NAME=PLAN")
--- a/umberusher/commands/tools.py
+++ b/umberusher/commands/tools.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import resource
 import sys
 from pathlib import Path
 from typing import Any
@@ -15,6 +16,7 @@
 
 from umberusher.errors import UsageError
 
+PARTIES_MOST = 1_024  # nodes, and brokers, of one call: a pair may hold connections, all of them on this machine
 out = Console(highlight=False, soft_wrap=True, width=None if sys.stdout.isatty() else 140)
 
 
@@ -36,6 +38,23 @@
                     disable=not console.is_terminal, transient=True)
 
 
+def parties(option: str, count: int) -> int:
+    """A number of nodes or brokers; UsageError where it is out of range."""
+    if not 1 <= count <= PARTIES_MOST:
+        raise UsageError(f"{option}: expected 1 to {PARTIES_MOST:,}, got {count:,}")
+    return count
+
+
+def descriptors(wanted: int) -> None:
+    """Let this process have so many; UsageError where the system won't."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    most = wanted if hard == resource.RLIM_INFINITY else hard
+    if wanted > most:
+        raise UsageError(f"{wanted:,} descriptors are needed at the least, the system allows this process {hard:,}")
+    if soft != resource.RLIM_INFINITY and soft < most:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+
+
 def write_json(path: str | None, value: Any) -> None:
     """Write a document where one is asked for."""
     if path:
--- a/umberusher/commands/trace_replay.py
+++ b/umberusher/commands/trace_replay.py
@@ -16,12 +16,13 @@
 from umberusher.traces.plan import Plan
 
 EXIT_UNSCORED, EXIT_BROKEN = 3, 1
+RESERVED, BROKER_FDS = 64, 24  # descriptors of this process; of a broker, its board and its clients at first
 
 
 def options(args: argparse.Namespace) -> Options:
     """The options of a replay; UsageError where they make no sense."""
-    if not 1 <= args.nodes <= 200 or not 1 <= args.brokers <= 20:
-        raise UsageError("--nodes: 1 to 200, --brokers: 1 to 20")
+    tools.parties("--nodes", args.nodes)
+    tools.parties("--brokers", args.brokers)
     if not 0 <= args.leave <= 1 or not 0 <= args.tight <= 1:
         raise UsageError("--leave, --tight: expected a share from 0 to 1")
     return Options(args.clock, args.seed, args.nodes, args.brokers, args.retries, args.leave, args.tight,
@@ -59,7 +60,8 @@
 def run(args: argparse.Namespace) -> int:
     """Play; 0 scored, 1 a rule is broken, 3 nothing was scored."""
     log = tools.log_to(args.log_format)
-    plan, chosen = Plan.load(args.plan), options(args)
+    chosen, plan = options(args), Plan.load(args.plan)
+    tools.descriptors(RESERVED + chosen.nodes + chosen.brokers * BROKER_FDS)
     chosen.keep_log, chosen.keep_stories = bool(args.wire_log), bool(args.deadline_log)
     if args.team:
         plans = {args.first: plan} | {name: Plan.load(path) for name, _, path in (each.partition("=")
--- a/umberusher/config.py
+++ b/umberusher/config.py
@@ -5,7 +5,7 @@
 import json
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from umberusher import interface as api
@@ -37,7 +37,6 @@
     keepalive_ms: float = 15_000.0
     max_open: int = 10_000
     admin: tuple[str, int] | None = None  # the operators' door
-    raw: dict[str, Any] = field(default_factory=dict, repr=False)
 
 
 def _number(source: Mapping[str, Any], name: str, default: float, least: float) -> float:
@@ -66,7 +65,7 @@
             multiplex=int(_number(on_sockets, "multiplex", 32, 1)),
             connect_timeout_ms=_number(on_sockets, "connect_timeout_ms", 250.0, 1),
             keepalive_ms=_number(on_sockets, "keepalive_ms", 15_000.0, 1),
-            max_open=int(_number(on_sockets, "max_open", 10_000, 1)), raw=raw)
+            max_open=int(_number(on_sockets, "max_open", 10_000, 1)))
     except KeyError as error:
         raise ConfigError(f"lacks {error}") from None
     except (TypeError, ValueError, AttributeError, wire.WireError) as error:
--- a/umberusher/deadlines/allowance.py
+++ b/umberusher/deadlines/allowance.py
@@ -23,7 +23,7 @@
 MOST_MS = 2_000.0  # guards against one wild sample: no connection is up to 2 s away
 DELAY_MOST_MS = 500.0  # guards requests against a connection that is given up by then, as one that has gone silent
 FRESH_MS = 5_000.0  # for which the newest round trip counts where it is longer than the least: ways change
-ENGINES_MOST = 1_024
+ENGINES_MOST = 4_096  # engines whose way is remembered, as many as ids (route): ids are always new
 
 
 @dataclass(slots=True)
@@ -82,7 +82,7 @@
             return
         found = self.engines.get(engine)
         if found is None:
-            if len(self.engines) >= ENGINES_MOST:  # ids are always new
+            if len(self.engines) >= ENGINES_MOST:
                 self.engines.pop(next(iter(self.engines)))
             self.engines[engine] = WindowedMin(WINDOW_MS, at_ms, trip_ms)
         else:
--- a/umberusher/handover.py
+++ b/umberusher/handover.py
@@ -24,11 +24,11 @@
 from umberusher.net.connection import Connection, Raw, State
 from umberusher.net.listener import Listener
 from umberusher.net.loop import READ, Coroutine, Loop, Wait
-from umberusher.protocol.board import BoardFault, Notice, notices
+from umberusher.protocol.board import MAX_BODY, BoardFault, Notice, notices
 from umberusher.stages.take_in import Client
 
 log = logging.getLogger(__name__)
-HELLO_MOST = 1 << 20  # bytes of a message
+HELLO_MOST = 2 * MAX_BODY  # bytes of a message: a list as long as the board can tell, and all ids and bans
 HELLO_S = 1.5  # for the whole greeting; the start waits for it
 PEERS_MOST = 4
 PACKET_MOST = 4_096  # bytes that come with one connection
--- a/umberusher/protocol/board.py
+++ b/umberusher/protocol/board.py
@@ -11,7 +11,7 @@
 
 from umberusher import interface as api
 
-MAX_BODY = 1 << 22
+MAX_BODY = 1 << 22  # bytes of an answer: some 20,000 engines
 STATES = {"SERVING": api.EngineState.UP, "DRAINING": api.EngineState.DRAINING, "DELETED": api.EngineState.GONE}
 
 
@@ -111,7 +111,7 @@
                 elif isinstance(event, h11.Data):
                     self._body += event.data
                     if len(self._body) > MAX_BODY:
-                        return BoardFault("answer too large")
+                        return BoardFault(f"an answer of over {MAX_BODY:,} bytes")
                 elif isinstance(event, h11.ConnectionClosed):
                     return BoardFault("closed")
                 elif isinstance(event, h11.EndOfMessage):
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -155,6 +155,7 @@
         if not first:
             return [(f"n-{number}", "std-16" if number % 3 == 2 else "std-8") for number in range(self.options.nodes)]
         first.sort(key=lambda item: xxhash.xxh3_64_intdigest(item[0].encode()))
+        self.notes["machines of the plan left out"] += max(len(first) - self.options.nodes, 0)
         self._made = {name: f"n-{number}" for number, (name, _) in enumerate(first[:self.options.nodes])}
         return [(self._made[name], kind) for name, kind in first[:self.options.nodes]]
 
--- a/umberusher/stages/route.py
+++ b/umberusher/stages/route.py
@@ -112,7 +112,8 @@
             return True
         if len(self.banned) >= BANS_MOST:
             oldest = next((name for name in self.banned if name not in self.members), None)
-            self.banned.pop(oldest, None)
+            if self.banned.pop(oldest, None) is not None:
+                log.warning("ban of %s, which is not listed, dropped: %d are kept", oldest, BANS_MOST)
         self.banned[engine] = self.unix_ms() if since_ms is None else since_ms
         member = self.members.get(engine)
         if member:
