--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -248,6 +248,7 @@
 
 def test_more_bans_than_are_kept_are_told_of(rig, caplog):
     broker = rig().broker
+    caplog.set_level("WARNING", logger="umberusher")
     names = [f"gone-{number}" for number in range(route.BANS_MOST + 1)]
     for name in names:
         broker.route.remember(name)
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -155,7 +155,8 @@
         if not first:
             return [(f"n-{number}", "std-16" if number % 3 == 2 else "std-8") for number in range(self.options.nodes)]
         first.sort(key=lambda item: xxhash.xxh3_64_intdigest(item[0].encode()))
-        self.notes["machines of the plan left out"] += max(len(first) - self.options.nodes, 0)
+        if len(first) > self.options.nodes:
+            self.notes["machines of the plan left out"] += len(first) - self.options.nodes
         self._made = {name: f"n-{number}" for number, (name, _) in enumerate(first[:self.options.nodes])}
         return [(self._made[name], kind) for name, kind in first[:self.options.nodes]]
 
