Move the limit of threads a core by the time between a gateway's queries

Now a step counts for the gap between the gateway's queries over 20 ms, ten times at the most; under 20 ms nothing changes. The test was seen failing without the change.

--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -41,3 +41,20 @@
             bench.feed(api.AttemptNews(name, 0, only(actions, api.Send)[0].engine, api.NewsKind.WAIT, 1))
         bench.finish(only(actions, api.Send)[0], elapsed=500.0)
     assert 0.4 * out[0] < out[-1] < 0.8 * out[0]
+
+
+def limit_after_a_slow_second(gap_ms: float) -> float:
+    """The learned limit of threads after 1 s in which every answer was too slow for its aim."""
+    bench = Bench(engines=4)
+    for slow in (False, True):
+        until = bench.now + (1000.0 if slow else 100 * gap_ms)
+        while bench.now < until:
+            bench.now += gap_ms
+            bench.finish(only(bench.arrive()[1], api.Send)[0], elapsed=900.0 if slow else 50.0)
+    return bench.gateway.full
+
+
+def test_the_limit_of_threads_moves_by_time_however_few_queries_a_gateway_has():
+    """Found with 200 gateways of 5 queries a second: after a release the limit hardly fell, and all stood crowded."""
+    often, seldom = limit_after_a_slow_second(20.0), limit_after_a_slow_second(100.0)
+    assert often < 0.6 * 2.4 and abs(often - seldom) < 0.1 * 2.4
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -31,6 +31,7 @@
 FULL_LEAST, FULL_MOST = 0.6, 3.2  # bounds of the learned limit
 FULL_DOWN = 0.012  # part of the limit that an attempt too slow for its aim takes; more starves the longer classes
 FULL_UP = 0.01  # what a timely attempt adds while queries are held: about one slow in four is borne
+PACE_MOST = 10.0  # times that step where a gateway has few queries to learn from; each of them says no more than that
 FULL_AIM = 0.5  # share of a query's aim that its attempt may take
 SHORT_PART = 1.6  # short queries, and those that keep order, for whose end a whole line waits, may go this much above
 LATE_FULL = 0.9  # the same for queries past their aim: they only fill what is idle
@@ -768,10 +769,11 @@
             usual.log_memory = max(usual.log_memory - GRANT_DOWN, -1.5)
         work = event.work_ms or 0.7 * time * threads
         usual.work += step * (min(work, 20 * usual.work) - usual.work)
+        pace = min(max(self.gap / TICK_MS, 1.0), PACE_MOST)
         if time > FULL_AIM * (self._aim(request) - request.at):
-            self.full = max(self.full * (1 - FULL_DOWN), FULL_LEAST)
+            self.full = max(self.full * (1 - FULL_DOWN * pace), FULL_LEAST)
         elif self.held and not self.held[0].late:
-            self.full = min(self.full + FULL_UP, FULL_MOST)
+            self.full = min(self.full + FULL_UP * pace, FULL_MOST)
         engine = attempt.engine
         engine.slow += SPEED_LEARN * (math.log(time / max(attempt.expected, 0.1)) - engine.slow)
 
