Move the limit of threads faster only where reports say that it is crowded

Slow answers there are those of silent and cold engines, not of crowded ones. Now the step counts for the gap only while the pool's mean load, by reports, is over the limit. The test holds for both: crowded it moves by time, slow without a crowd it does not.

--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -43,14 +43,19 @@
     assert 0.4 * out[0] < out[-1] < 0.8 * out[0]
 
 
-def limit_after_a_slow_second(gap_ms: float) -> float:
-    """The learned limit of threads after 1 s in which every answer was too slow for its aim."""
-    bench = Bench(engines=4)
+ENGINES = [f"e{number}" for number in range(4)]
+
+
+def limit_after_a_slow_second(gap_ms: float, held: float = 90.0) -> float:
+    """The learned limit after 1 s in which every answer was too slow, and engines told of so many queries."""
+    bench = Bench(engines=len(ENGINES))
     for slow in (False, True):
         until = bench.now + (1000.0 if slow else 100 * gap_ms)
         while bench.now < until:
             bench.now += gap_ms
             bench.finish(only(bench.arrive()[1], api.Send)[0], elapsed=900.0 if slow else 50.0)
+            for engine in ENGINES if slow else ():
+                bench.feed(api.ProbeEnded(engine, api.Ending.SERVED, 1.0, api.LoadReport(held=held)))
     return bench.gateway.full
 
 
@@ -58,3 +63,4 @@
     """Found with 200 gateways of 5 queries a second: after a release the limit hardly fell, and all stood crowded."""
     often, seldom = limit_after_a_slow_second(20.0), limit_after_a_slow_second(100.0)
     assert often < 0.6 * 2.4 and abs(often - seldom) < 0.1 * 2.4
+    assert limit_after_a_slow_second(100.0, held=1.0) > 0.85 * 2.4  # slow, but not crowded
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -769,7 +769,8 @@
             usual.log_memory = max(usual.log_memory - GRANT_DOWN, -1.5)
         work = event.work_ms or 0.7 * time * threads
         usual.work += step * (min(work, 20 * usual.work) - usual.work)
-        pace = min(max(self.gap / TICK_MS, 1.0), PACE_MOST)
+        # Only where reports say that it is crowded: slow answers of silent or cold engines move it no faster.
+        pace = min(max(self.gap / TICK_MS, 1.0), PACE_MOST) if self.mean_load > self.full else 1.0
         if time > FULL_AIM * (self._aim(request) - request.at):
             self.full = max(self.full * (1 - FULL_DOWN * pace), FULL_LEAST)
         elif self.held and not self.held[0].late:
