Close no client over unread bytes, and hear those who take no answers

- Every close of a client (idle, evicted, handed over, end, half a call) was a plain close(2).
Over a call that lay unread in the kernel it reset the connection, and what its client had not read yet was lost (ConnectionResetError in all three ways of the test).
One way for all now: Connection.end writes out what is queued, shuts the write side, reads out what still comes and closes, 500 ms at the most.
The descriptors of those that are ending are bounded.
- At SIGTERM the last look at 'all idle' and the close of the listener and of what rests were two steps with nothing between them but luck: a connection in the listener's queue was reset.
In order now: listener taken and closed, then each that owes nothing ends, then the process.
- Reading was paused for a client with 64 unread answers, so cancel and end lay unread and its held request was sent on.
It is read on now; its calls wait (64 at the most), what it takes back is taken back there too.
One that can be heard no more gets an answer to all that is open.
A full ring hears the end by EPOLLRDHUP.
- An exception while one connection was accepted ended the accepting coroutine for good.
- The operators' callers had no TCP_NODELAY.

Ruled out: on Linux data that has reached the client's own queue survives a reset, so only answers that are larger than that queue, or held back, were lost.

--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,298 @@
+"""Rare moments, each forced: what comes between two steps that belong together. The table is in docs/crossings.md."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+import pytest
+
+from tests.rig import Peer
+from tests.test_codecs import execute
+from umberusher.net import connection
+from umberusher.net.connection import ENDING_MS, Raw, State
+from umberusher.net.listener import Listener
+from umberusher.net.loop import Loop
+from umberusher.stages import take_in
+
+
+def interrupt(seqid: int) -> bytes:
+    call = struct.pack(">Ii9siBhiB", 0x80010004, 9, b"interrupt", 2, 8, 1, seqid, 0)
+    return struct.pack(">i", len(call)) + call
+
+
+def call(number: int, method: str = "lookup", **more) -> bytes:
+    return execute(number, {"method": method, "rid": f"{number:016x}", "budget": "2000"} | more, b"select 1")
+
+
+def narrow(rig) -> Peer:
+    """A client whose side takes little at a time."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(rig.broker.front.listener.sock.getsockname())
+    rig.until(lambda: rig.broker.front.clients)
+    return rig.keep(Peer(sock))
+
+
+def ours(rig):
+    """The broker's side of the newest client."""
+    return list(rig.broker.front.clients)[-1]
+
+
+def drain(peer: Peer, step) -> bytes:
+    """All that a peer gets to the end of its connection; a reset shows as an exception."""
+    peer.sock.setblocking(False)
+    for _ in range(4000):
+        try:
+            data = peer.sock.recv(1 << 16)
+        except BlockingIOError:
+            step()
+            continue
+        if not data:
+            return peer.got
+        peer.got += data
+    raise AssertionError("it did not end")
+
+
+# -- A close, and what crosses it
+
+@pytest.mark.parametrize("way", ["ebb", "evict", "idle"])
+def test_a_call_that_crosses_a_close_takes_no_answer_with_it(rig, way):
+    """A close over unread bytes resets the connection: what its client had not read yet was lost."""
+    rig = rig()
+    client = narrow(rig)
+    front = rig.broker.front
+    ours(rig).conn.send(Raw(b"x" * 200_000))
+    rig.until(lambda: ours(rig).conn.idle)
+    if way == "ebb":
+        front.ebb()
+    elif way == "evict":
+        front._evict()
+    else:
+        rig.now += 60.0
+        front.sweep()
+    client.sock.send(call(1))
+    assert len(drain(client, lambda: rig.step(0))) == 200_000
+    client.sock.close()
+    rig.until(lambda: not front.ending and not front.clients)
+
+
+def test_what_never_closes_is_closed_in_a_bounded_time(rig):
+    rig = rig()
+    client = narrow(rig)
+    rig.broker.front.ebb()
+    rig.later(ENDING_MS - 100)
+    assert rig.broker.front.ending and not rig.broker.front.clients
+    rig.later(200)
+    assert not rig.broker.front.ending
+    client.sock.close()
+
+
+@pytest.mark.parametrize("way", ["evict", "idle"])
+def test_a_client_whose_call_lies_with_the_kernel_is_not_at_rest(rig, way):
+    rig = rig()
+    client = rig.client()
+    rig.until(lambda: rig.broker.front.clients)
+    client.sock.send(call(1, "other"))
+    rig.until(lambda: rig.answer(client))
+    rig.now += 60.0
+    client.sock.send(call(2))
+    if way == "evict":
+        assert not rig.broker.front._evict()
+    else:
+        rig.broker.front.sweep()
+    rig.until(lambda: f"{2:016x}" in rig.broker.book.tickets)
+
+
+def test_a_flood_of_clients_that_make_room_for_each_other_holds_a_bounded_number_of_descriptors(rig):
+    rig = rig()
+    rig.broker.front.most = 2
+    clients = [rig.client() for _ in range(60)]
+    for _ in range(200):
+        rig.step(0)
+        assert len(rig.broker.front.clients) <= 2 and len(rig.broker.front.ending) <= take_in.ENDING_MOST
+    del clients
+
+
+# -- SIGTERM
+
+def test_a_call_that_waits_in_the_listener_when_the_process_ends_gets_its_answer(rig):
+    """The last look was made, the listener closed with a connection in it: its call was lost."""
+    rig = rig()
+    rig.broker.loop.running = True
+    rig.broker.stop()
+    rig.now += 1.2
+    client = rig.client()
+    client.sock.send(call(1))
+    rig.broker._sweep()
+    for _ in range(40):
+        rig.later(20)
+        if client.read() and client.ended:
+            client.sock.close()
+        if not rig.broker.loop.running:
+            rig.broker.front.close()  # as the program does
+            break
+    assert b"backoff" in client.got and not rig.broker.loop.running
+
+
+def test_a_call_on_a_resting_connection_that_crosses_the_end_is_read_out_and_not_sent_on(rig):
+    rig = rig()
+    client, rid, engine = rig.begun()
+    engine.sock.send(f"{rid} HIT count=1 6\r\na\t1\t2\n\r\n".encode())
+    rig.until(lambda: rig.broker.book.counts["served"])
+    rig.broker.loop.running = True
+    rig.broker.stop()
+    rig.now += 1.2
+    rig.broker._sweep()
+    client.sock.send(call(9))
+    for _ in range(5):
+        rig.step(0)
+    assert f"{9:016x}" not in rig.broker.book.tickets and b"9" * 3 not in engine.read()
+    assert b"a\t1\t2\n" in drain(client, lambda: rig.step(0))
+    client.sock.close()
+    rig.later(200)
+    assert not rig.broker.loop.running
+
+
+def test_after_sigterm_the_time_for_calls_ends_without_waiting_for_a_sweep(rig):
+    """SIGKILL may find open what came 0.7 s after SIGTERM, and then it is lost: sweeps came up to 0.1 s later."""
+    rig = rig()
+    client = rig.client()
+    rig.until(lambda: rig.broker.front.clients)
+    rig.broker.stop()
+    rig.now += 0.6
+    client.sock.send(call(1))
+    rig.until(lambda: f"{1:016x}" in rig.broker.book.tickets)
+    rig.now += 0.09
+    client.sock.send(call(2))
+    assert b"backoff" in rig.answer(client) and f"{2:016x}" not in rig.broker.book.tickets
+
+
+@pytest.mark.parametrize("second", ["stop", "reload"])
+def test_a_second_signal_changes_nothing_of_the_end(rig, second):
+    rig = rig()
+    rig.broker.loop.running = True
+    rig.broker.stop()
+    rig.later(900)
+    getattr(rig.broker, second)()
+    rig.later(300)
+    assert not rig.broker.loop.running
+
+
+# -- A client that has left or has taken back
+
+def clogged(rig, engines: int = 1):
+    """A client that takes no answers, with one call open that waits at the broker."""
+    rig = rig(engines)
+    client = narrow(rig)
+    side = ours(rig)
+    side.conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4608)
+    rig.broker.gateway._choose = lambda request: None  # what is taken waits
+    client.sock.send(call(1))
+    rig.until(lambda: side.open)
+    side.conn.send(Raw(b"x" * 500_000))
+    for _ in range(take_in.UNWRITTEN_MOST + 1):
+        side._write(b"y")
+    assert side.clogged
+    return rig, client, side
+
+
+def test_a_cancel_is_heard_of_a_client_that_takes_no_answers(rig):
+    """Reading was paused with answers unread: the cancel lay with the kernel, and the call went on."""
+    rig, client, side = clogged(rig)
+    client.sock.send(interrupt(1))
+    rig.until(lambda: not rig.broker.book.tickets)
+    assert not side.open and not rig.broker.gateway.requests
+
+
+@pytest.mark.parametrize("full", [False, True])
+def test_the_end_is_heard_of_a_client_that_takes_no_answers(rig, full):
+    rig, client, side = clogged(rig)
+    if full:
+        for number in range(2, 2 + take_in.WAITING_MOST):
+            client.sock.send(call(number, "other"))
+        rig.until(lambda: len(side.waiting) == take_in.WAITING_MOST)
+    client.sock.shutdown(socket.SHUT_WR)
+    rig.until(lambda: not rig.broker.front.clients)
+    assert not rig.broker.gateway.requests
+
+
+def test_a_call_that_is_taken_back_while_it_waits_to_be_read_never_begins(rig):
+    rig, client, side = clogged(rig)
+    client.sock.send(call(2) + call(3) + interrupt(2))
+    rig.until(lambda: [each.seqid for _, each in side.waiting] == [3])
+    assert f"{2:016x}" not in rig.broker.book.tickets
+
+
+def test_nothing_stays_open_for_a_client_that_can_be_heard_no_more(rig):
+    rig, client, side = clogged(rig)
+    for number in range(2, 2 + take_in.WAITING_MOST):
+        client.sock.send(call(number, "other"))
+    rig.until(lambda: len(side.waiting) == take_in.WAITING_MOST and not side.open)
+    assert not rig.broker.gateway.requests and rig.broker.book.counts["refused"] == 1
+    answers = 1 + take_in.WAITING_MOST  # the refusal and the complaints
+    got = b""
+    for _ in range(4000):
+        rig.step(0)
+        client.got = b""
+        got += client.read()
+        if got.count(b"\x80\x01\x00\x03") == take_in.WAITING_MOST and b"backoff" in got:
+            break
+    assert got.count(b"\x80\x01") == answers
+
+
+# -- Small writes, listeners
+
+def test_no_socket_holds_small_writes_back(rig):
+    rig = rig()
+    client, rid, engine = rig.begun()
+    rig.broker.door.listen(("127.0.0.1", 0))
+    door = rig.keep(Peer(socket.create_connection(rig.broker.door.listener.sock.getsockname())))
+    rig.until(lambda: rig.broker.door.callers)
+    conns = [ours(rig).conn, rig.broker.board.conn, next(iter(rig.broker.door.callers)).conn,
+             *(link.conn for links in rig.broker.send.links.values() for link in links)]
+    assert len(conns) == 4
+    assert all(each.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) for each in conns)
+    door.sock.close()
+
+
+def test_one_connection_that_can_not_be_taken_does_not_end_the_listener():
+    """An exception while one was taken ended the coroutine that accepts: nobody came in any more."""
+    loop, sock, taken = Loop(), socket.create_server(("127.0.0.1", 0)), []
+
+    def take(accepted: socket.socket) -> None:
+        taken.append(accepted)
+        if len(taken) == 1:
+            raise OSError("gone already")
+
+    listener = Listener(loop, sock, 4, take, lambda: None)
+    listener.hold(False)
+    peers = []
+    for count in (1, 2):
+        peers.append(socket.create_connection(sock.getsockname()))
+        for _ in range(100):
+            loop.step(10)
+            if len(taken) == count:
+                break
+        assert len(taken) == count
+    listener.close()
+    for each in [*peers, *taken]:
+        each.close()
+    loop.close()
+
+
+def test_the_state_of_a_connection_that_ends_is_told_once():
+    loop = Loop()
+    here, there = socket.socketpair()
+    here.setblocking(False)
+    conn = connection.Connection(loop, here, State.OPEN, 100, 100)
+    told = []
+    conn.on_closed, conn.on_gone = told.append, lambda: told.append("gone")
+    loop.spawn(conn.serve())
+    conn.end("asked")
+    conn.end("again")
+    assert told == ["asked", "gone"]  # the second word closes at once
+    conn.close("once more")
+    assert told == ["asked", "gone"] and conn.state is State.CLOSED
+    there.close()
+    loop.close()
--- a/umberusher/admin.py
+++ b/umberusher/admin.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from umberusher.net.connection import Connection, State
+from umberusher.net import connection
+from umberusher.net.connection import Connection, Raw, State
 from umberusher.net.listener import Listener
 from umberusher.net.loop import Loop
 from umberusher.protocol.ops import BadCall, Call, OpsServer
-from umberusher.stages.take_in import Written
 
 log = logging.getLogger(__name__)
 CALLERS_MOST = 12  # at a time; their descriptors are nobody else's
@@ -38,26 +38,24 @@
         self.door, self.conn, self.server = door, conn, OpsServer()
         self.began_ms = self.used_ms = door.now_ms()
         self.spoke = self.answered = False
-        conn.on_data, conn.on_closed = self._data, lambda why: door.callers.pop(self, None)
+        conn.on_data, conn.on_closed, conn.on_gone = self._data, self._closed, self._gone
+
+    def _closed(self, why: str) -> None:
+        if self.conn.state is State.CLOSED:  # one that is ending keeps its descriptor, and so its place
+            self._gone()
+
+    def _gone(self) -> None:
+        self.door.callers.pop(self, None)
 
     def _data(self) -> None:
         self.used_ms, self.spoke = self.door.now_ms(), True
-        data = self.conn.inbound.take(len(self.conn.inbound))
-        if self.answered:  # all is dropped until the caller closes: kept, it would fill the memory
-            return
-        found = self.server.feed(data)
+        found = self.server.feed(self.conn.inbound.take(len(self.conn.inbound)))
         if found is None:
             return
         self.answered = True
         status, text, more = self.door.carry_out(found)
-        self.conn.send(Written(self.server.answer(status, text.encode(), **more), self._end))
-
-    def _end(self) -> None:
-        """Guards the answer: a close with bytes unread resets the connection, and the answer may go with it."""
-        try:
-            self.conn.sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            self.conn.close("gone")
+        self.conn.send(Raw(self.server.answer(status, text.encode(), **more)))
+        self.conn.end("answered", CALLER_MS)
 
 
 class Door:
@@ -78,8 +76,7 @@
     def _admit(self, sock: socket.socket) -> None:
         if len(self.callers) >= CALLERS_MOST:
             self._evict()
-        sock.setblocking(False)
-        conn = Connection(self.loop, sock, State.OPEN, INBOUND, OUTBOUND)
+        conn = connection.accepted(self.loop, sock, INBOUND, OUTBOUND)
         self.loop.hurry(conn.fd)
         self.callers[Caller(self, conn)] = None
         self.loop.spawn(conn.serve())
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -35,8 +35,8 @@
 ENGINE_PART = 0.3  # of the others, those kept for engines
 SWEEP_MS = 100.0
 TIGHT_PART, FULL_PART = 0.75, 0.92  # of the memory limit, above which little more is taken, and nothing
-CALLS_S = 0.7  # after SIGTERM, in which calls are still taken
-LINGER_S = 1.0  # after SIGTERM new requests go on coming for 0.6 s
+CALLS_S = 0.65  # after SIGTERM calls come for 0.6 s; one that comes 0.7 s after it is lost where SIGKILL finds it open
+LINGER_S = 1.0  # after SIGTERM the listener and what rests stay open for this long: calls should no longer come
 LEAVE_S = 5.0  # after SIGTERM a process with a successor has the longest deadline, at most this, and 0.7 s
 LEAVE_OPEN_S, LEAVE_LAST_S = 0.25, 0.45  # beyond that time: when what is open is ended, and when the process ends
 FRESH_S = 3.0  # a start waits no longer than this for the notice board's first word
@@ -82,7 +82,7 @@
                          multiplex=config.multiplex, connect_timeout_ms=config.connect_timeout_ms,
                          keepalive_ms=config.keepalive_ms, most=for_engines, cancel=limits.cancel, receipts=receipts,
                          probes=limits.probes)
-        self.admit = Admit(self.book, self.send, self.post, config.max_open,
+        self.admit = Admit(self.loop.clock, self.book, self.send, self.post, config.max_open,
                            limits.max_retry_after_ms if limits.retry_after else None)
         self.front = TakeIn(self.loop, self.admit, self.now_ms, lambda: self.time.at_ms(self.loop.arrived), self.good,
                             descriptors - for_engines, Form(config.settings), config.memory_mb)
@@ -271,6 +271,7 @@
         """Begin to end; safe to call from a signal handler."""
         if self.stopping_at is None:
             self.stopping_at = self.loop.clock()
+            self.admit.until = self.stopping_at + CALLS_S
 
     def reload(self) -> None:
         """Have the configuration read again at the next sweep; safe to call from a signal handler."""
@@ -319,8 +320,12 @@
         self.leaving = self.leaving or self.handover.handed_over
         if self.leaving:
             return self._leave(passed - min(longest, LEAVE_S))
-        # Guards calls that come though none should come any more: they are refused, not lost at the end.
-        self.admit.tight = self.admit.tight or passed > CALLS_S
+        if passed > LINGER_S:
+            # In this order, so that none is lost: what the listener holds is taken, then each connection that owes
+            # nothing shuts its write side and is read out; the process ends once the other sides have closed too.
+            if self.front.listener:
+                self.front.stop_listening()
+            self.front.ebb()
         # A client that takes no answers must not keep a broker from its end: after the longest deadline it goes.
         return passed > LINGER_S + longest or (passed > LINGER_S and self.front.idle)
 
@@ -328,11 +333,10 @@
         """Answer what is open while a successor accepts, and end before SIGKILL does it; whether all is done."""
         if beyond > LEAVE_OPEN_S:
             self.admit.tight = True
-            for rid in self.book.end_all(self.admit.backoff_ms):
-                self.post(api.ClientLeft(rid))
+            self.admit.end([ticket for ticket in self.book.tickets.values() if ticket.open])
         if not self.handover.pass_clients():
             self.front.ebb()
-        done = not self.front.clients and not self.book.in_flight and self.handover.idle
+        done = self.front.idle and not self.book.in_flight and self.handover.idle
         return done or beyond > LEAVE_LAST_S
 
     def _tight(self, part: float, count: int) -> bool:
--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -1,7 +1,10 @@
 """A TCP connection as a small machine of states, with a ring buffer for each direction.
 
-CONNECTING -> OPEN -> CLOSED. Messages wait in ``outbox`` and go into the outbound ring one at a time, so that
-one which has not begun can still be withdrawn. No exception of the socket leaves this module.
+CONNECTING -> OPEN -> ENDING -> CLOSED, or at once to CLOSED. Messages wait in ``outbox`` and go into the outbound ring
+one at a time, so that one which has not begun can still be withdrawn. A close over unread bytes resets the connection
+and takes with it what the other side has not read yet: one that owes nothing any more passes ENDING, which writes out
+what is queued, shuts the write side and reads out what still comes, for a bounded time. No exception of the socket
+leaves this module.
 """
 
 from __future__ import annotations
@@ -17,7 +20,7 @@
 from enum import Enum
 from typing import Protocol
 
-from umberusher.net.loop import READ, WRITE, Coroutine, Loop, Wait
+from umberusher.net.loop import HALF, READ, WRITE, Coroutine, Loop, Timer, Wait
 from umberusher.net.ring import Ring
 
 log = logging.getLogger(__name__)
@@ -25,6 +28,9 @@
 
 UNSENT_MOST = 16_384  # bytes that the kernel may hold unsent: what waits here can still be decided on
 STUCK_MS = 250.0  # without a byte taken, after which a connection is stuck
+ENDING_MS = 500.0  # for the other side to take the rest and close too: ten times what a call may cross a close by
+SCRATCH = 1 << 16  # bytes read out in one go
+HEARD_MOST = 16  # reads of one hearing: what a flood says beyond them waits for its turn
 NOTSENT_LOWAT = getattr(socket, "TCP_NOTSENT_LOWAT", 25)
 
 
@@ -33,6 +39,7 @@
 
     CONNECTING = "connecting"
     OPEN = "open"
+    ENDING = "ending"
     CLOSED = "closed"
 
 
@@ -63,7 +70,7 @@
 
 
 class Connection:
-    """One socket; its owner sets the hooks ``on_open``, ``on_data`` and ``on_closed``."""
+    """One socket; its owner sets the hooks ``on_up``, ``on_open``, ``on_data``, ``on_closed``, ``on_gone``."""
 
     def __init__(self, loop: Loop, sock: socket.socket, state: State, inbound: int, outbound: int) -> None:
         self.loop, self.sock, self.state = loop, sock, state
@@ -72,19 +79,21 @@
         self.outbox: deque[Message] = deque()
         self.writing: Message | None = None  # the message that is in the outbound ring
         self.paused = False  # the owner takes no more for now
-        self.closing = False  # close once all is written
+        self._ending: Timer | None = None  # until when it may be ending
         self.sent = 0  # bytes that the kernel has taken
         self.waits_since: float | None = None  # the loop's time since which the kernel takes nothing
         self._reading = False
+        self.on_up: Callable[[], None] = lambda: None  # it has come up; nothing goes out before this returns
         self.on_open: Callable[[], None] = lambda: None
         self.on_data: Callable[[], None] = lambda: None
-        self.on_closed: Callable[[str], None] = lambda why: None
+        self.on_closed: Callable[[str], None] = lambda why: None  # nothing more is taken from here, nor sent
+        self.on_gone: Callable[[], None] = lambda: None  # one that was ending has given its descriptor back
 
     # -- For the owner
 
     def send(self, message: Message) -> None:
         """Queue a message and write as much as the kernel takes."""
-        if self.state is State.CLOSED:
+        if self.state not in (State.CONNECTING, State.OPEN):
             return
         self.outbox.append(message)
         if self.state is State.OPEN:
@@ -102,14 +111,16 @@
         except OSError:
             return True
 
-    def quiet(self) -> bool:
-        """Whether nothing is under way in either direction, not even in the kernel."""
-        if len(self.inbound) or not self.idle:
-            return False
+    def unread(self) -> bool:
+        """Whether bytes lie with the kernel; no event may have told of them yet."""
         try:
-            return not self.sock.recv(1, socket.MSG_PEEK)
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
         except OSError:
-            return True
+            return False
+
+    def quiet(self) -> bool:
+        """Whether nothing is under way in either direction, not even in the kernel."""
+        return not len(self.inbound) and self.idle and not self.unread()
 
     def detach(self) -> None:
         """Let go of the socket without a word to its owner: another process has it now."""
@@ -152,20 +163,33 @@
         """Nothing is left to write."""
         return not self.outbox and self.writing is None
 
-    def finish(self) -> None:
-        """Close as soon as all is written."""
-        self.closing = True
-        if self.idle:
-            self.close("finished")
+    def end(self, why: str, within_ms: float = ENDING_MS) -> None:
+        """Take nothing more from now on, tell the owner, and close without a reset, within a bounded time.
+
+        Guards answers that the other side has not read yet against bytes of its that cross the close.
+        """
+        if self.state is not State.OPEN:
+            self.close(why)
+            return
+        self.state = State.ENDING
+        self._ending = self.loop.call_later(within_ms, lambda: self.close("not closed by the other side"))
+        self.inbound.skip(len(self.inbound))
+        self.on_closed(why)
+        self._flush()
+        self._watch()
 
     def close(self, why: str) -> None:
         """Close now and tell the owner, once."""
         if self.state is State.CLOSED:
             return
-        self.state = State.CLOSED
+        was, self.state = self.state, State.CLOSED
         self.loop.forget(self.fd)
         self.sock.close()
-        self.on_closed(why)
+        if was is State.ENDING:
+            self._ending.cancel()
+            self.on_gone()
+        else:
+            self.on_closed(why)
 
     # -- The coroutine
 
@@ -184,6 +208,12 @@
                 self._flush()
             if self.state is State.OPEN and events & ~WRITE:
                 self._read()
+        while self.state is State.ENDING:
+            events = yield Wait(self.fd, self._mask())
+            if self.state is State.ENDING and events & WRITE:
+                self._flush()
+            if self.state is State.ENDING and events & ~WRITE:
+                self._read_out()
 
     def _check_up(self) -> None:
         """See whether the connection has come up, has failed, or is still to be waited for.
@@ -200,31 +230,59 @@
             self.sock.getpeername()
         except OSError:
             return
-        self.state = State.OPEN
+        self._guard(self.on_up)
+        if self.state is State.CONNECTING:
+            self.state = State.OPEN
 
     def _mask(self) -> int:
-        read = READ if not self.paused and self.inbound.room > 0 else 0
+        if self.state is State.ENDING:
+            read = READ
+        elif self.paused:
+            read = 0
+        else:  # a full ring hides the end that lies behind what is unread
+            read = READ if self.inbound.room > 0 else HALF
         return read | (0 if self.idle else WRITE)
 
     def _watch(self) -> None:
-        if self.state is State.OPEN and not self._reading:
+        if self.state in (State.OPEN, State.ENDING) and not self._reading:
             self.loop.watch(self.fd, self._mask())
 
-    def _read(self) -> None:
-        if self.inbound.room <= 0:  # an error or hang-up while nothing may be read
+    def _read(self) -> bool:
+        """Read once; whether anything came."""
+        if self.inbound.room <= 0:  # an error or the end while nothing may be read
             self.close("hung up")
-            return
+            return False
         try:
             count = self.inbound.fill(self.sock)
         except (BlockingIOError, InterruptedError):
-            return
+            return False
         except OSError as error:
             self.close(f"read: {errno.errorcode.get(error.errno, error.errno)}")
-            return
+            return False
         if not count:
             self.close("ended by the other side")
-            return
+            return False
         self._guard(self.on_data)
+        return True
+
+    def _read_out(self) -> None:
+        """Drop what came after the end: nothing of it is owed an answer, and left unread it would reset."""
+        try:
+            if not self.sock.recv(SCRATCH):
+                self.close("ended by both sides")
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self.close(f"read: {errno.errorcode.get(error.errno, error.errno)}")
+
+    def hear(self) -> None:
+        """Read what lies with the kernel now, before its event is told of."""
+        for _ in range(HEARD_MOST):
+            if self.state is not State.OPEN or self._reading or self.paused or not self.inbound.room:
+                break
+            if not self._read():
+                break
+        self._watch()
 
     def process(self) -> None:
         """Offer the owner again what it has left in the inbound ring."""
@@ -245,7 +303,7 @@
 
     def _flush(self) -> None:
         try:
-            while self.state is State.OPEN:
+            while self.state in (State.OPEN, State.ENDING):
                 if not len(self.outbound):
                     if self.writing is not None:
                         done, self.writing = self.writing, None
@@ -270,8 +328,11 @@
         except OSError as error:
             self.close(f"write: {errno.errorcode.get(error.errno, error.errno)}")
             return
-        if self.closing and self.idle:
-            self.close("finished")
+        if self.state is State.ENDING and self.idle:
+            try:
+                self.sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.close("gone")
 
 
 def connect(loop: Loop, address: tuple[str, int], inbound: int, outbound: int) -> Connection | str:
--- a/umberusher/net/listener.py
+++ b/umberusher/net/listener.py
@@ -36,25 +36,40 @@
         events = READ
         while True:
             yield Wait(self.sock.fileno(), events)
-            events = READ
-            for _ in range(self.most):
-                try:
-                    accepted, _ = self.sock.accept()
-                except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                    break
-                except OSError as error:
-                    # Guards against a full table of descriptors: the listener rests instead of spinning or dying.
-                    log.warning("accept: %s", errno.errorcode.get(error.errno, error.errno))
-                    self.short()
-                    events = 0
-                    self.loop.call_later(PAUSE_MS, self._again)
-                    break
+            if self._take_some():
+                events = READ
+            else:  # guards against a full table of descriptors: the listener rests instead of spinning or dying
+                events = 0
+                self.loop.call_later(PAUSE_MS, self._again)
+
+    def _take_some(self) -> bool:
+        """Hand on what is there, up to ``most``; False where no descriptor was left."""
+        for _ in range(self.most):
+            try:
+                accepted, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return True
+            except OSError as error:
+                log.warning("accept: %s", errno.errorcode.get(error.errno, error.errno))
+                self.short()
+                return False
+            try:
                 self.take(accepted)
+            except Exception:  # guards the listener, and with it all others, against what one connection brings about
+                log.exception("a connection was not taken")
+                accepted.close()
+        return True
 
     def _again(self) -> None:
         if not self.held:
             self.loop.watch(self.sock.fileno(), READ)
 
+    def finish(self) -> None:
+        """Hand on what has come already, then give the socket back."""
+        if not self.held:
+            self._take_some()
+        self.close()
+
     def close(self) -> None:
         """Give the socket back."""
         self.hold(True)
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+HALF = select.EPOLLRDHUP  # the other side has closed, whatever lies unread before that
 ROUND = 64  # events of one round at the most
 WAITED_S, BEHIND_S = 0.001, 0.5  # a poll that took so long had to wait; what a stall left is read within this
 STALL_S = 0.05  # by which a round may be late before the loop holds that it was stopped
--- a/umberusher/stages/admit.py
+++ b/umberusher/stages/admit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -20,9 +21,11 @@
 class Admit:
     """The door to the decisions."""
 
-    def __init__(self, book: Book, send: Send, post: Callable[[api.Event], None], most: int,
+    def __init__(self, clock: Callable[[], float], book: Book, send: Send, post: Callable[[api.Event], None], most: int,
                  backoff_ms: float | None) -> None:
         self.book, self.send, self.post, self.most, self.backoff_ms = book, send, post, most, backoff_ms
+        self.clock = clock
+        self.until = math.inf  # when, on the clock, calls are taken no more: the process is about to end
         self.gate: Gate | None = None  # teams' contracts, where there are any
         self.tight = False  # memory is near its limit
 
@@ -33,7 +36,7 @@
             log.warning("request %s is open already", ticket.rid)
             self.book.close(ticket, "failed")
             ticket.caller.failed("this id is open already")
-        elif self.tight or len(self.book.tickets) >= self.most:
+        elif self.tight or self.clock() > self.until or len(self.book.tickets) >= self.most:
             log.warning("request refused: the broker is at its limits")
             self.book.close(ticket, "refused")
             ticket.caller.refused(self.backoff_ms)
@@ -55,10 +58,21 @@
             ticket.caller.refused(None if self.backoff_ms is None else min(why.wait_ms, self.backoff_ms))
         return False
 
+    def end(self, tickets: list[Ticket]) -> None:
+        """Give each its final answer now, and let go of it: refused where nothing was sent, else failed."""
+        for ticket in tickets:
+            if ticket.sent and self.book.close(ticket, "failed"):
+                ticket.caller.failed("the broker ends it")
+            elif self.book.close(ticket, "refused"):
+                ticket.caller.refused(self.backoff_ms)
+            self._let_go(ticket)
+
     def leave(self, ticket: Ticket) -> None:
         """The client waits no more: nothing is owed, and what is out is given up."""
-        if not self.book.close(ticket):
-            return
+        if self.book.close(ticket):
+            self._let_go(ticket)
+
+    def _let_go(self, ticket: Ticket) -> None:
         self.post(api.ClientLeft(ticket.rid))
         if ticket.attempt:
             self.send.give_up(ticket.attempt, api.Ending.CANCELLED)
--- a/umberusher/stages/book.py
+++ b/umberusher/stages/book.py
@@ -151,18 +151,6 @@
         if ticket and self.close(ticket, "failed"):
             ticket.caller.failed("failed")
 
-    def end_all(self, backoff_ms: float | None) -> list[str]:
-        """The final answer of all that is open, for the process ends: refused where nothing was sent, else failed."""
-        ended = [ticket for ticket in self.tickets.values() if ticket.open]
-        for ticket in ended:
-            if ticket.sent:
-                self.close(ticket, "failed")
-                ticket.caller.failed("the broker ends")
-            else:
-                self.close(ticket, "refused")
-                ticket.caller.refused(backoff_ms)
-        return [ticket.rid for ticket in ended]
-
     def forget(self, event: api.Event) -> None:
         """Drop a ticket once the decisions have heard that it is over."""
         if isinstance(event, api.ClientLeft) or isinstance(event, api.AttemptEnded) and event.closed:
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -5,6 +5,7 @@
 import logging
 import re
 import socket
+from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -27,10 +28,13 @@
 OUTBOUND = 1 << 20  # an answer is 48,000 bytes of rows at the most
 OPEN_MOST = 32  # open calls of one connection: what clients promise
 EARNED = 2  # calls that each answer served lets count at once for the retry budget: itself, and one that fails
-UNWRITTEN_MOST = 64  # answers that a client has not read, before it is read no more itself
+UNWRITTEN_MOST = 64  # answers that a client has not read, before its next calls wait: twice what may be open
+WAITING_MOST = 64  # calls that wait so, before it is read no more and its open calls end
+ENDING_MOST = 16  # connections that may be ending beyond the most that clients have; descriptors are kept back for them
 ASK_MS = 2_000.0  # from a connection's start to its first byte, and without a further byte of a call that has begun
 FIRST_MOST_MS, ASK_MOST_MS = 2_700.0, 6_000.0  # from a connection's start to its first whole call; for any other call
 IDLE_MS = 10_000.0  # without a call; clients close after 4 s
+IDLE = "idle"
 UNREAD_MS = 30_000.0  # with answers that the client doesn't read
 REST_MS = 1_000.0  # quiet for this long, a connection gives its buffers back
 ACCEPTS = 64  # connections accepted in one go, so that open ones get their turn
@@ -78,6 +82,10 @@
         """Aborted."""
         self.client.reply(self.seqid, thrift.aborted(self.seqid, {"reason": why}))
 
+    def hear(self) -> None:
+        """Read the connection."""
+        self.client.conn.hear()
+
 
 def trylater(seqid: int, backoff_ms: float | None) -> bytes:
     """A refusal, with the time to stay away where there is one."""
@@ -153,13 +161,31 @@
         # Calls that count for the retry budget before they are served. Guards it against clients that ask by the
         # hundred for what no engine serves: what one asks widens it in step with what it has been served.
         self.credit = 0
+        self.waiting: deque[tuple[float, thrift.Execute | thrift.Check | thrift.Malformed]] = deque()  # when each came
+        self.waiting_size = 0
+        self.going_on = False  # a turn for them is planned
         self.origin = front.origin(conn) if front.origin else None
         self.half_ms: float | None = self.used_ms  # since when a call, or the first one, is waited for
         conn.on_data, conn.on_closed = self._data, self._closed
+        conn.on_gone = lambda: front.ending.pop(conn, None)
+
+    @property
+    def clogged(self) -> bool:
+        """Whether it takes no answers: its next calls wait."""
+        return len(self.conn.outbox) >= UNWRITTEN_MOST
 
     def _data(self) -> None:
+        """Take what has come. One that takes no answers is read on: what it takes back, and its end, must be heard."""
         self.used_ms = self.front.now_ms()
-        while self.conn.state is State.OPEN and not self.conn.paused:
+        while self.conn.state is State.OPEN:
+            if self.waiting and not self.clogged:
+                arrived_ms, call = self.waiting.popleft()
+                self.waiting_size -= self._size(call)
+                self._call(call, arrived_ms)
+                continue
+            if len(self.waiting) >= WAITING_MOST or self.waiting_size >= self.front.frame_most:
+                self._deaf()
+                return
             frame = thrift.next_frame(self.conn.inbound, self.front.frame_most)
             if frame is None:
                 self._half()
@@ -169,9 +195,41 @@
             if isinstance(frame, thrift.Malformed):
                 # Guards against a stream that has lost its frames: nothing after this can be read.
                 log.warning("client closed: %s", frame.why)
-                self.conn.close("malformed")
+                self.conn.end("malformed")
                 return
-            self._call(thrift.decode(frame))
+            call = thrift.decode(frame)
+            if isinstance(call, thrift.Interrupt):
+                self._interrupt(call.target)
+            elif self.clogged:
+                self.waiting.append((self.front.arrived_ms(), call))
+                self.waiting_size += self._size(call)
+            else:
+                self._call(call, self.front.arrived_ms())
+
+    @staticmethod
+    def _size(call: object) -> int:
+        return len(call.body) if isinstance(call, thrift.Execute) else 0
+
+    def _interrupt(self, seqid: int) -> None:
+        """The client waits no more for a call, which may be waiting itself."""
+        found = self.open.pop(seqid, None)
+        if found:
+            self._leave(found)
+            return
+        for each in [each for each in self.waiting if getattr(each[1], "seqid", None) == seqid]:
+            self.waiting.remove(each)
+            self.waiting_size -= self._size(each[1])
+
+    def _deaf(self) -> None:
+        """Give an answer to all that is open, for what is taken back can be heard no more.
+
+        Guards engines against work for a client who has left: nothing new may begin on the account of one who can't be
+        heard. Clients who keep to what they promise never come here.
+        """
+        calls = [call for call in self.open.values() if isinstance(call, Ticket)]
+        if calls:
+            log.warning("client takes no answers: its %d open calls end", len(calls))
+            self.front.admit.end(calls)
 
     def _half(self) -> None:
         """Only a part of a call is here, or nothing."""
@@ -182,7 +240,7 @@
             if len(self.front.large) >= self.front.large_most:
                 # Guards memory: many endless calls at once would fill it.
                 log.warning("client closed: too many large calls under way")
-                self.conn.close("no room")
+                self.conn.end("no room")
                 return
             self.front.large.add(self)
 
@@ -199,21 +257,17 @@
         most = ASK_MOST_MS if self.asked else FIRST_MOST_MS
         if self.half_ms is not None and (quiet > ASK_MS or now_ms - self.half_ms > most):
             return "half a call" if self.asked or len(self.conn.inbound) else "never asked"
-        return "idle" if quiet > IDLE_MS else ""
+        return IDLE if quiet > IDLE_MS else ""
 
-    def _call(self, call: thrift.Execute | thrift.Interrupt | thrift.Check | thrift.Malformed) -> None:
+    def _call(self, call: thrift.Execute | thrift.Check | thrift.Malformed, arrived_ms: float) -> None:
         if isinstance(call, thrift.Execute):
-            self._execute(call)
-        elif isinstance(call, thrift.Interrupt):
-            found = self.open.pop(call.target, None)
-            if found:
-                self._leave(found)
+            self._execute(call, arrived_ms)
         elif isinstance(call, thrift.Check):
             good = self.front.good()
             self._write(thrift.answer("check", call.seqid, b"", {}, good))
         elif call.seqid is None:
             log.warning("client closed: %s", call.why)
-            self.conn.close("malformed")
+            self.conn.end("malformed")
         else:
             self._complain(call.seqid, call.name, call.kind, call.why)
 
@@ -221,11 +275,11 @@
         log.warning("call turned away: %s", why)
         self._write(thrift.application_exception(name, seqid, kind, why))
 
-    def _execute(self, call: thrift.Execute) -> None:
+    def _execute(self, call: thrift.Execute, arrived_ms: float) -> None:
         if call.seqid in self.open:
             # Guards against two answers under one number: the client could not tell them apart.
             log.warning("client closed: sequence number %s is open already", call.seqid)
-            self.conn.close("malformed")
+            self.conn.end("malformed")
             return
         if len(self.open) >= OPEN_MOST:
             # Guards against floods: one client's hundreds would be held by the decisions before everyone else's.
@@ -233,7 +287,7 @@
             self._count("refused", call)
             self._write(trylater(call.seqid, self.front.admit.backoff_ms))
             return
-        taken = ticket(call, ThriftCaller(self, call.seqid), self.front.arrived_ms(), self.front.form)
+        taken = ticket(call, ThriftCaller(self, call.seqid), arrived_ms, self.front.form)
         if isinstance(taken, str):
             self._count("failed", call)
             self._complain(call.seqid, "execute", thrift.PROTOCOL_ERROR, taken)
@@ -243,7 +297,6 @@
         self.credit = max(self.credit - 1, 0)
         if self.front.origin:
             taken.claim, taken.origin = call.fields.get("team"), self.origin
-        self._pace()
         self.front.admit.take(taken)
 
     def _count(self, word: str, call: thrift.Execute) -> None:
@@ -251,16 +304,18 @@
         if call.fields.get("method") in self.front.form.classes:
             self.front.admit.book.count(word, call.fields["method"])
 
-    def _pace(self) -> None:
-        """Read no more while the client takes no answers; go on once that is over."""
-        paused = len(self.conn.outbox) >= UNWRITTEN_MOST
-        if self.conn.paused and not paused:  # whole calls may lie in the ring, and no event will tell of them
-            self.front.loop.call_later(0, self.conn.process)
-        self.conn.pause(paused)
+    def _go_on(self) -> None:
+        """Take the next calls that wait, once the client has taken an answer: no event will tell of them."""
+        if self.waiting and not self.clogged and not self.going_on:
+            self.going_on = True
+            self.front.loop.call_later(0, self._take_waiting)
+
+    def _take_waiting(self) -> None:
+        self.going_on = False
+        self.conn.process()
 
     def _write(self, data: bytes) -> None:
-        self.conn.send(Written(data, self._pace))
-        self._pace()
+        self.conn.send(Written(data, self._go_on))
 
     def reply(self, seqid: int, data: bytes) -> None:
         """Write the answer of an open call."""
@@ -283,7 +338,7 @@
     @property
     def clean(self) -> bool:
         """Whether no byte is under way here: another process can read on from this very moment."""
-        return self.conn.state is State.OPEN and self.conn.idle and not len(self.conn.inbound)
+        return self.conn.state is State.OPEN and self.conn.idle and not len(self.conn.inbound) and not self.waiting
 
     def go(self, away: Callable[[int, bytes], None]) -> None:
         """Another process has the connection; what is open is answered by way of it."""
@@ -305,6 +360,9 @@
     def _closed(self, why: str) -> None:
         self.front.clients.pop(self, None)
         self.front.large.discard(self)
+        if self.conn.state is State.ENDING:
+            self.front.ending[self.conn] = None
+        self.waiting.clear()
         left, self.open = list(self.open.values()), {}
         for each in left:
             self._leave(each)
@@ -323,6 +381,7 @@
         self.origin: Callable[[Connection], Origin] | None = None  # where a connection came to, if anyone asks
         self.more: list[Listener] = []  # at further addresses
         self.clients: dict[Client, None] = {}  # in the order in which they came, so that sweeps are the same each time
+        self.ending: dict[Connection, None] = {}  # that owe nothing and are read out, the oldest first
         self.listener: Listener | None = None
         self.elsewhere = 0  # clients of other processes of this broker
 
@@ -369,7 +428,8 @@
         return self.listener is None or self.listener.held
 
     def _admit_client(self, sock: socket.socket) -> None:
-        if len(self.clients) >= max(self.most - self.elsewhere, min(self.most, LEAST)) and not self._evict():
+        room = max(self.most - self.elsewhere, min(self.most, LEAST))
+        if len(self.clients) + max(len(self.ending) - ENDING_MOST, 0) >= room and not self._evict():
             # Guards the descriptors that engines and the notice board need.
             log.warning("client turned away: %d connections are open", len(self.clients))
             sock.close()
@@ -389,11 +449,18 @@
         return client
 
     def _evict(self) -> bool:
-        """Close the connection without open calls that has been quiet for longest, first of those in half a call."""
-        quiet = [c for c in self.clients if not c.open and c.conn.idle]
-        if quiet:
-            min(quiet, key=lambda c: (c.half_ms is None, c.used_ms)).conn.close("evicted")
-        return bool(quiet)
+        """Make room: one that is ending, else the one without open calls that has been quiet for longest, first of
+        those in half a call. A call that has just come is no quiet."""
+        if len(self.ending) <= ENDING_MOST:
+            quiet = sorted((c for c in self.clients if not c.open and c.conn.idle and not c.waiting),
+                           key=lambda c: (c.half_ms is None, c.used_ms))
+            found = next((c for c in quiet if c.half_ms is not None or not c.conn.unread()), None)
+            if found is None:
+                return False
+            found.conn.end("evicted")
+        if len(self.ending) > ENDING_MOST:
+            next(iter(self.ending)).close("evicted")
+        return True
 
     def sweep(self) -> None:
         """Close what has been waited for long enough.
@@ -404,28 +471,33 @@
         now = self.now_ms()
         for client in list(self.clients):
             why = client.overdue(now)
-            if why:
-                client.conn.close(why)
+            if why and not (why == IDLE and client.conn.unread()):
+                client.conn.end(why)
 
     def ebb(self) -> None:
-        """Close each connection that carries nothing: a successor takes its client's next one.
+        """End each connection that carries nothing; its client goes elsewhere with its next call.
 
-        Guards calls that are with the kernel already; one that crosses the close is sent again by its client.
+        Guards calls that are with the kernel already; one that crosses the end is sent again by its client.
         """
-        for client in [each for each in self.clients if not each.open and each.conn.quiet()]:
-            client.conn.close("handed over")
+        for client in [each for each in self.clients if not each.open and not each.waiting and each.conn.quiet()]:
+            client.conn.end("the broker ends")
+
+    def stop_listening(self) -> None:
+        """Take the connections that are with the kernel, then close the listeners: they reset what they hold."""
+        listeners = [self.listener, *self.more] if self.listener else self.more
+        self.listener, self.more = None, []
+        for each in listeners:
+            each.finish()
 
     @property
     def idle(self) -> bool:
-        """No call is open, none waits with the kernel, and all answers are with it."""
-        return all(not c.open and c.conn.quiet() for c in self.clients)
+        """No client is left, and none of their connections is being read out."""
+        return not self.clients and not self.ending
 
     def close(self) -> None:
         """Close the listener and all clients."""
-        if self.listener:
-            self.listener.close()
-            self.listener = None
-        while self.more:
-            self.more.pop().close()
-        for client in list(self.clients):
-            client.conn.close("the broker ends")
+        for each in [self.listener, *self.more] if self.listener else self.more:
+            each.close()
+        self.listener, self.more = None, []
+        for conn in [*(client.conn for client in self.clients), *self.ending]:
+            conn.close("the broker ends")
