Hear a waiting request's client before it is sent on; take no second answer for the next

Causes, by reading; forced over loopback sockets.

- In one round of the loop an engine's 'full' or error may be read before the client's close or cancel that came first, or a connection may come up late: the next attempt then began for a client who had left (Send.start, Connection._check_up).
A round has up to 64 events, and under a share of a core takes over 100 ms.
What the client has said is read at the moment of sending now, where the request was taken over 20 ms ago: one system call.
- After SHED or FAULT the same request could go over the same connection again, where a second answer to the first attempt, some milliseconds late, ended the new one (Relay.take, Link.usable).
Its id is retired there.

Each test was seen failing without its mend.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,6 +9,7 @@
 
 from tests.rig import Peer
 from tests.test_codecs import execute
+from umberusher.interface import Ending
 from umberusher.net import connection
 from umberusher.net.connection import ENDING_MS, Raw, State
 from umberusher.net.listener import Listener
@@ -241,6 +242,68 @@
     assert got.count(b"\x80\x01") == answers
 
 
+@pytest.mark.parametrize("word", ["closed", "interrupt"])
+def test_a_client_that_has_left_is_heard_before_its_request_is_sent_on(rig, word):
+    """Its word lies with the kernel while one long round runs: the next attempt began all the same."""
+    rig = rig(2)
+    client, other = rig.client(), rig.client()
+    rid = rig.ask(client)
+    first = rig.broker.book.tickets[rid].attempt
+    rig.until(lambda: first.reach >= 3)
+    rig.now += 0.3
+    if word == "closed":
+        client.sock.close()
+    else:
+        client.sock.send(interrupt(rig.seqid))
+    rig.broker.book.ended(first, Ending.FULL)  # in the round in which no event has told of the client yet
+    assert rid not in rig.broker.gateway.requests
+    assert rig.broker.book.counts["attempt moot"] == 1 and not rig.broker.book.tickets
+    for name in ("s-0", "s-1"):
+        rig.listeners[name].setblocking(False)
+    other.sock.close()
+
+
+def test_a_client_that_has_left_is_heard_before_a_connection_that_came_up_late_is_used(rig):
+    rig = rig()
+    client = rig.client()
+    rig.until(lambda: rig.broker.front.clients)
+    made = []
+    real = connection.Connection._check_up
+    connection.Connection._check_up = lambda self: made.append(self)  # the connection does not come up yet
+    try:
+        rid = rig.ask(client)
+        rig.until(lambda: made)
+    finally:
+        connection.Connection._check_up = real
+    rig.now += 0.2
+    client.sock.close()
+    made[0]._check_up()
+    assert rid not in rig.broker.book.tickets
+    engine = rig.accept("s-0")
+    rig.later(100)
+    assert b"REQ" not in engine.read()
+
+
+# -- Attempts that end
+
+def test_a_second_answer_is_not_taken_for_the_next_attempt_s(rig):
+    """'full', then the same request there again, then a late second answer to the first: it ended the new one."""
+    rig = rig()
+    client, rid, engine = rig.begun()
+    engine.sock.send(f"{rid} SHED - 0\r\n\r\n".encode())
+    rig.until(lambda: rig.broker.book.counts["attempt full"])
+    rig.later(400)
+    rig.until(lambda: (each := rig.broker.book.tickets[rid].attempt) and each.number == 1 and each.reach >= 3)
+    engine.sock.send(f"{rid} FAULT - 0\r\n\r\n".encode())
+    rig.later(100)
+    attempt = rig.broker.book.tickets[rid].attempt
+    assert attempt and attempt.number == 1
+    other = rig.accept("s-0")
+    rig.expect(other, f"REQ {rid}".encode())
+    other.sock.send(f"{rid} HIT count=1 6\r\na\t1\t2\n\r\n".encode())
+    assert b"a\t1\t2\n" in rig.answer(client)
+
+
 # -- Small writes, listeners
 
 def test_no_socket_holds_small_writes_back(rig):
--- a/umberusher/stages/relay.py
+++ b/umberusher/stages/relay.py
@@ -31,6 +31,7 @@
         elif reply.word == "PART" and attempt.count:
             self._part(attempt, reply)
         elif reply.word == "SHED" and not attempt.count:
+            attempt.link.retire(attempt.ticket.rid)
             self.book.ended(attempt, Ending.FULL, codec.report(reply.fields))
         elif reply.word == "LATE" and not attempt.count:
             # Guards engines against being left out as full for a client that has gone, and the ration against tries
@@ -51,6 +52,7 @@
         reach = Reach.PAGE if attempt.pages else Reach.ANSWERED
         if attempt.pages:
             attempt.link.tell("END", attempt.ticket.rid)
+        attempt.link.retire(attempt.ticket.rid)
         self.book.faulted(attempt, Fault(reach, why, len(attempt.pages)), codec.report(reply.fields))
 
     def _spoilt(self, attempt: Attempt, why: str) -> None:
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -36,6 +36,7 @@
 UNHEARD_MS = 250.0  # a probe's silence, from which on a request given up may lie unread
 UNREAD_MS = 3.0  # beyond the way, by which a receipt may be late
 PAGES_MS = 1_500.0  # for the next page of a result that has begun
+HEAR_MS = 20.0  # a request taken longer ago than this has waited; a client who left 100 ms ago must not be sent for
 
 
 @dataclass(slots=True, eq=False)
@@ -103,9 +104,14 @@
         self.cancels: Cancels[Attempt] = Cancels(send.probes)
         self.receipts: dict[str, Attempt] = {}  # attempts whose receipt has not come, by the probe behind them
         self.asked: tuple[str, float] = "", 0.0  # the probe behind STOPs that is out: its tag, and when it was written
-        conn.on_open, conn.on_data, conn.on_closed = self._opened, self._data, self._closed
+        conn.on_up, conn.on_open = self._hear, self._opened
+        conn.on_data, conn.on_closed = self._data, self._closed
         self.timer = send.loop.call_later(send.connect_timeout_ms, self._too_slow)
 
+    def _hear(self) -> None:
+        for attempt in list(self.attempts.values()):
+            self.owner.hear(attempt.ticket)
+
     def _opened(self) -> None:
         self.timer.cancel()
         self.opened_ms = self.owner.now_ms()
@@ -309,6 +315,13 @@
             return Place.PARTLY
         return Place.KERNEL if self.conn.sent - self.conn.unacked() < attempt.end else Place.ENGINE
 
+    def retire(self, rid: str) -> None:
+        """Take no more of what comes for this id, and send it here no more.
+
+        Guards the next attempt: a second answer to the last one may come some milliseconds late.
+        """
+        self.retired.add(rid)
+
     def tell(self, word: str, *words: object) -> None:
         """Write a line."""
         self.conn.send(Raw(codec.command(word, *words)))
@@ -349,6 +362,7 @@
             until = min(until, now + timeout_ms)
         attempt = Attempt(ticket, ticket.sent, engine, now, until)
         ticket.sent += 1
+        self.hear(ticket)
         if not ticket.open:
             self.book.ended(attempt, Ending.MOOT)
             return
@@ -373,6 +387,14 @@
         attempt.timer = self.loop.call_later(until - now, lambda: self.give_up(attempt, Ending.TIMEOUT))
         link.carry(attempt)
 
+    def hear(self, ticket: Ticket) -> None:
+        """Hear the client of a request that has waited, before it is sent.
+
+        Guards engines against work for a client who has left: its word lies with the kernel while a long round runs.
+        """
+        if self.now_ms() - ticket.budget.taken_ms > HEAR_MS:
+            ticket.caller.hear()
+
     def ttl(self, attempt: Attempt, link: Link) -> int | Spent:
         """What the engine may be told of an attempt's time, if it went out now."""
         now = self.now_ms()
--- a/umberusher/ticket.py
+++ b/umberusher/ticket.py
@@ -53,6 +53,9 @@
     def failed(self, why: str) -> None:
         """Failed; nothing is promised."""
 
+    def hear(self) -> None:
+        """Take what its client has said by now: it may have left, and no event has told of it yet."""
+
 
 class Carrier(Protocol):
     """What carries an attempt to its engine; each back protocol has its own."""
@@ -63,6 +66,9 @@
     def release(self, attempt: Attempt) -> bool:
         """Let go of an attempt; True where it had not begun and is taken back."""
 
+    def retire(self, rid: str) -> None:
+        """Take no more of what comes for this id there."""
+
     def tell(self, word: str, *words: object) -> None:
         """Write a line about it."""
 
