--- a/umberusher/protocol/board.py
+++ b/umberusher/protocol/board.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -29,7 +30,7 @@
     rev: int
     complete: bool
     entries: tuple[api.EngineEntry, ...]
-    addresses: dict[str, tuple[str, int]]
+    addresses: dict[str, tuple[str, int] | None]  # None where it is told of no address and needs none
     skipped: int = 0  # entries that could not be read
 
 
@@ -41,16 +42,31 @@
     return host, int(port)
 
 
-def _entry(item: dict) -> tuple[api.EngineEntry, tuple[str, int]]:
+def _entry(item: dict) -> tuple[api.EngineEntry, tuple[str, int] | None]:
     name = item["instanceId"]
     if not isinstance(name, str) or not name:
         raise ValueError("expected an instance id")
-    weight, started = item.get("weight"), item.get("startedAtMs")
+    # What is beside the state costs only itself where it makes no sense: a drain must be heard all the same.
     entry = api.EngineEntry(
-        name, STATES[item["lifecycle"]], kind=item.get("machineType"), zone=item.get("zone"),
-        cell=item.get("cell"), weight=None if weight is None else float(weight),
-        started_ms=float(started) if started else None)
-    return entry, address(item["hostPort"])
+        name, STATES[item["lifecycle"]], kind=_of(item, "machineType", str), zone=_of(item, "zone", str),
+        cell=_of(item, "cell", int, str), weight=_of(item, "weight", float, int),
+        started_ms=_of(item, "startedAtMs", float, int) or None)
+    try:
+        return entry, address(item["hostPort"])
+    except (KeyError, TypeError, ValueError, AttributeError):
+        if entry.state is api.EngineState.UP:
+            raise
+        return entry, None
+
+
+def _of(item: dict, name: str, *kinds: type) -> Any:
+    """A field of one of these types; None where it is absent or makes no sense."""
+    value = item.get(name)
+    if isinstance(value, bool) or not isinstance(value, kinds):
+        return None
+    if float in kinds:
+        return float(value) if 0 <= value < math.inf else None
+    return value
 
 
 def notices(document: object, after: int) -> list[Notice] | BoardFault:
@@ -65,7 +81,7 @@
                 try:
                     entry, addresses[raw["instanceId"]] = _entry(raw)
                     entries.append(entry)
-                except (KeyError, TypeError, ValueError):
+                except (KeyError, TypeError, ValueError, AttributeError):
                     skipped += 1
             found.append(Notice(int(item["rev"]), bool(item["pool"].get("reset")), tuple(entries),
                                 addresses, skipped))
--- a/umberusher/stages/route.py
+++ b/umberusher/stages/route.py
@@ -12,6 +12,7 @@
 
 log = logging.getLogger(__name__)
 SEEN_MOST = 4_096  # ids once listed that are remembered
+NOWHERE = ("", 0)  # the address of an engine that was told without one, and takes nothing new
 BANS_MOST = 1_024  # bans; over this the oldest one of an engine that is not listed is dropped
 
 
@@ -61,13 +62,13 @@
             self.on_closed(member)
         self.on_news()
 
-    def _apply(self, entry: api.EngineEntry, address: tuple[str, int], closed: list[Member]) -> api.EngineEntry:
+    def _apply(self, entry: api.EngineEntry, address: tuple[str, int] | None, closed: list[Member]) -> api.EngineEntry:
         """Take one entry; gives it as it counts here."""
         self.remember(entry.engine)
         member = self.members.get(entry.engine)
         if member is None:
-            member = self.members[entry.engine] = Member(entry.engine, address, entry.state, entry)
-        elif member.address != address:
+            member = self.members[entry.engine] = Member(entry.engine, address or NOWHERE, entry.state, entry)
+        elif address and member.address != address:
             member.address = address
             self.on_moved(member)
         member.told = entry
