--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.helpers import Bench, make_settings
+from tests.test_codecs import execute
 from umberusher import interface as api
 from umberusher.protocol import engine as codec
 
@@ -89,3 +90,20 @@
     rig = rig()
     rid = rig.ask(rig.client(), acct="kosar")
     assert rig.broker.book.tickets[rid].arrival.tenant == "kosar"
+
+
+@pytest.mark.parametrize("token", ["053317d3066a7d60", "a;b:c/+<>"])
+def test_the_token_by_which_engines_drop_duplicates_is_passed_on(rig, token):
+    """Found on a variant with a class that is keyed: engines got the request without its token, and the day was void."""
+    rig = rig()
+    rid = rig.ask(rig.client(), token=token)
+    rig.expect(rig.accept("s-0"), f"REQ {rid} lane=lookup,ttl=1949,dedupe={token} 26\r\n".encode())
+
+
+@pytest.mark.parametrize("token", ["a,b=c", "a b", "a\r\nb", "é", "x" * 257])
+def test_a_token_that_no_line_can_hold_costs_its_call(rig, token):
+    rig = rig()
+    client = rig.client()
+    fields = {"method": "lookup", "rid": "1" * 16, "budget": "900", "token": token}
+    client.sock.send(execute(1, fields, b"select 1"))
+    assert b"field token" in rig.answer(client) and not rig.broker.book.tickets
--- a/umberusher/protocol/engine.py
+++ b/umberusher/protocol/engine.py
@@ -38,9 +38,10 @@
     why: str
 
 
-def request(rid: str, lane: str, ttl_ms: float, statement: bytes, order: int | None = None) -> bytes:
-    """REQ: puts a query on the engine; with its priority, where one was named."""
+def request(rid: str, lane: str, ttl_ms: float, statement: bytes, order: int | None = None, token: str = "") -> bytes:
+    """REQ: puts a query on the engine; with its priority and the token by which it drops duplicates, where named."""
     fields = f"lane={lane},ttl={max(int(ttl_ms), 1)}" + ("" if order is None else f",order={order}")
+    fields += f",dedupe={token}" if token else ""
     return f"REQ {rid} {fields} {len(statement)}\r\n".encode() + statement + b"\r\n"
 
 
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -62,7 +62,7 @@
         attempt.reach = Reach.PARTLY_WRITTEN
         attempt.begun_ms = owner.now_ms()
         ticket = attempt.ticket
-        return codec.request(ticket.rid, ticket.arrival.query_class, ttl, ticket.statement, ticket.order)
+        return codec.request(ticket.rid, ticket.arrival.query_class, ttl, ticket.statement, ticket.order, ticket.token)
 
     def written(self) -> None:
         """The engine may have it whole from now on."""
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -40,6 +40,7 @@
 ACCEPTS = 64  # connections accepted in one go, so that open ones get their turn
 LEAST = 16  # connections that a process may have though others of its broker hold all the rest
 RID = re.compile(r"[0-9a-fA-F]{16}")
+TOKEN = re.compile(r"[!-+\--<>-~]{0,256}")  # what one field of an engine's line can hold: neither comma nor equals sign
 NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,20})?([eE][+-]?[0-9]{1,2})?")
 SPARE_MS = 1_000.0  # by which a budget may pass its class's deadline
 WORK_MOST = 1_000.0  # times its class's deadline: an estimate over this is none
@@ -131,13 +132,16 @@
         return "field again must be 1 or absent"
     if cls.in_order and not 0 < len(fields.get("obj", "")) <= KEY_MOST:
         return "field obj must name the key"
+    if not TOKEN.fullmatch(fields.get("token", "")):
+        return "field token can't be passed on"
     group = statement.table_group(call.body)
     if isinstance(group, statement.BadStatement):
         return f"statement: {group.why}"
     arrival = api.Arrival(rid, method, now_ms + numbers["budget"], work_ms=numbers["est"], memory_mb=numbers["ram"],
                           group=group, key=fields.get("obj") or None, retried=fields.get("again") == "1",
                           tenant=fields.get("acct") or None)
-    return Ticket(arrival, call.body, caller, Budget(now_ms, arrival.deadline_ms), cls.effect is api.Effect.UNSAFE)
+    return Ticket(arrival, call.body, caller, Budget(now_ms, arrival.deadline_ms), cls.effect is api.Effect.UNSAFE,
+                  token=fields.get("token", ""))
 
 
 class Abroad:
--- a/umberusher/ticket.py
+++ b/umberusher/ticket.py
@@ -87,6 +87,7 @@
     sent: int = 0  # attempts so far
     order: int | None = None  # its priority at engines, where the decisions have named one
     attempt: Attempt | None = None  # the one that is out
+    token: str = ""  # by which engines drop duplicates, passed on as its client sent it
     claim: str | None = None  # the team that it says it is of
     origin: Origin | None = None  # where its connection came to
     ran: bool = False  # an attempt may have run
