Count what cold engines get in calls, and share it among the gateways that have them in scope

Causes, Gateway._cold_room: credit was work, so cheap queries came in any number; it was saved for up to five windows; gateways with the engine in scope shared the whole budget and the others had their part beside that; and a draw was staked for candidates that were then not chosen.

Ruled out: 0.5 with a window saved (same bound, cold engines used less), 0.7 with a window (worst 0.11 under), credit of a whole call for each gateway (cheap calls starved by costly ones: 8.5 to 4.2 calls a second).

--- /dev/null
+++ b/tests/fleet_player.py
@@ -0,0 +1,125 @@
+"""A fleet of gateways before engines of which some have just started, on a clock of its own: what each engine gets.
+
+Owns nothing of the decisions: gateways hear of the list late and each by itself, probes tell what an engine holds, a
+query takes its work over its threads and the engine's warmth. Counted is what the users count: calls to an engine in
+each window, against the N calls of mean work that the settings let it have.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from umberusher import interface as api
+from umberusher.decide import Gateway
+
+CORES, CAPACITY = 8, 0.85
+MIX = (  # share, mean work in ms, threads
+    (api.QueryClass("lookup", 500, 2500, 1, api.Effect.SAFE, aim_stretch=2, late_worth=0.1), 0.81, 125.0),
+    (api.QueryClass("report", 1500, 15_000, 10, api.Effect.SAFE, aim_stretch=2.5, late_worth=0.4, threads=2), 0.13, 3700),
+    (api.QueryClass("load", 3000, 25_000, 8, api.Effect.UNSAFE, aim_stretch=2.5, late_worth=0.6, threads=2), 0.06, 2350))
+MEAN_WORK = sum(share * work for _, share, work in MIX)
+RULES = {"cold_from": 0.35, "warm_within_ms": 15_000.0, "tip_multiple": 4.0, "fall_ms": 1500.0}
+
+
+@dataclass(slots=True)
+class Fleet:
+    """What is played; ``told`` says when a gateway hears that the cold engines are there, after their start."""
+
+    gateways: int
+    warm: int
+    cold: int
+    seconds: float = 8.0
+    load: float = 0.8  # of what all engines do when warm
+    uneven: float = 4.0  # the most traffic of a gateway over the least
+    told: Callable[[random.Random], float] = field(default=lambda chance: 800 + 400 * chance.random())
+    lost_ms: float | None = None  # when all warm engines refuse from then on
+    keepalive_ms: float = 15_000.0
+    rules: dict[str, float] = field(default_factory=lambda: dict(RULES))
+
+    def budget(self, at_ms: float) -> float:
+        """The calls of a window that begins then, after the start."""
+        rules = self.rules
+        warmth = min(rules["cold_from"] + (1 - rules["cold_from"]) * at_ms / rules["warm_within_ms"], 1.0)
+        return rules["tip_multiple"] * CAPACITY * CORES * warmth * rules["fall_ms"] / MEAN_WORK
+
+
+def play(fleet: Fleet, seed: int) -> dict[str, list[float]]:
+    """When each cold engine got a call, in ms after its start."""
+    chance = random.Random(seed)
+    settings = api.Settings(
+        classes=tuple(cls for cls, _, _ in MIX), kinds=(api.EngineKind("k", CORES),), gateways=fleet.gateways,
+        limits=api.Limits(max_attempts=6, probes=True), rules=api.Rules(**fleet.rules), keepalive_ms=fleet.keepalive_ms)
+    gateways = [Gateway(settings, chance.getrandbits(32)) for _ in range(fleet.gateways)]
+    start, count = 100_000.0, itertools.count()
+    cold, warm = [f"c{n}" for n in range(fleet.cold)], [f"w{n}" for n in range(fleet.warm)]
+    held = dict.fromkeys(cold + warm, 0)
+    got: dict[str, list[float]] = {name: [] for name in cold}
+    requests: dict[str, tuple[api.QueryClass, float]] = {}
+    sent: dict[str, int] = {}
+    queue: list[tuple[float, int, int, api.Event | None]] = []
+
+    def plan(at: float, number: int, event: api.Event | None) -> None:
+        heapq.heappush(queue, (at, next(count), number, event))
+
+    def entries(names, **more) -> tuple[api.EngineEntry, ...]:
+        return tuple(api.EngineEntry(name, api.EngineState.UP, kind="k", zone="z", **more) for name in names)
+
+    def carry(number: int, now: float, action: api.Action) -> None:
+        if isinstance(action, api.SetTimer):
+            plan(now + action.delay_ms, number, api.TimerFired(action.token))
+        elif isinstance(action, api.Probe):
+            report = api.LoadReport(held=float(held[action.engine]))
+            plan(now + 2.0, number, api.ProbeEnded(action.engine, api.Ending.SERVED, 2.0, report))
+        elif isinstance(action, api.Send):
+            cls, work = requests[action.request]
+            attempt = sent[action.request] = sent.get(action.request, -1) + 1
+            lost = action.engine in warm and fleet.lost_ms is not None and now - start >= fleet.lost_ms
+            if action.engine in got:
+                got[action.engine].append(now - start)
+            warmth = fleet.budget(now - start) / fleet.budget(1e9) if action.engine in got else 1.0
+            took = 1.0 if lost else work / cls.threads / warmth * max(held[action.engine] / (1.5 * CORES), 1.0)
+            held[action.engine] += 1
+            ending = api.Ending.NO_CONNECTION if lost else api.Ending.SERVED
+            plan(now + took, number, api.AttemptEnded(action.request, attempt, action.engine, ending, took,
+                                                      closed=not lost))
+
+    weights = [fleet.uneven ** chance.random() for _ in gateways]
+    rate = fleet.load * (fleet.warm + fleet.cold) * CAPACITY * CORES / MEAN_WORK  # calls a ms
+    gaps = [sum(weights) / weight / rate for weight in weights]
+    for number, gateway in enumerate(gateways):
+        gateway.handle(start - 6000, api.EngineList(entries(warm), complete=True))
+        plan(start - 5000 + chance.expovariate(1 / gaps[number]), number, None)
+        plan(start + fleet.told(chance), number, api.EngineList(entries(cold, started_ms=start)))
+    while queue and queue[0][0] < start + 1000 * fleet.seconds:
+        now, _, number, event = heapq.heappop(queue)
+        if event is None:  # the next arrival
+            plan(now + chance.expovariate(1 / gaps[number]), number, None)
+            (cls, _, mean), = chance.choices(MIX, [share for _, share, _ in MIX])
+            work, name = mean * chance.lognormvariate(-0.4, 0.9), f"r{next(count)}"
+            requests[name] = cls, work
+            event = api.Arrival(name, cls.name, now + cls.deadline_ms, work_ms=work * chance.uniform(0.6, 1.6))
+        elif isinstance(event, api.AttemptEnded):
+            held[event.engine] -= 1
+        for action in gateways[number].handle(now, event):
+            carry(number, now, action)
+    return got
+
+
+def over(fleet: Fleet, got: dict[str, list[float]]) -> float:
+    """The worst window of all engines: its calls beyond the budget N, in roots of N less the two that are allowed.
+
+    Positive breaks N + 2 x root of N + 2.
+    """
+    worst, window = -99.0, fleet.rules["fall_ms"]
+    for times in got.values():
+        last = 0
+        for first, at in enumerate(times):
+            while last < len(times) and times[last] < at + window:
+                last += 1
+            budget = fleet.budget(at)
+            worst = max(worst, (last - first - budget - 2 * budget ** 0.5 - 2) / budget)
+    return worst
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -65,9 +65,8 @@
 ERRORS = 3  # error answers in a row that eject, each to a query that another engine then served
 ERRED_MOST = 2  # error answers after which it is the query that is at fault
 # -- Cold start (share)
-COLD_PART, COLD_CHANCE = 0.55, 0.4  # part used of this gateway's share; part of that left to chance
-COLD_SAVED, COLD_LARGEST = 0.5, 0.9  # windows of its share saved up; largest query, of the whole budget
-COLD_STAKED = 5.0  # windows staked where the share is less than a query: looks of so many gateways lie that far apart
+COLD_PART, COLD_SAVED = 0.6, 2 / 3  # part of the budget; windows of it saved up: with a window's own, the whole
+COLD_LARGEST = 0.9  # the largest query, of the whole budget
 CAPACITY = 0.85  # a core's output that counts as capacity
 # -- Rhythm
 TICK_MS = 20.0  # how often held queries are tried again at the least; no timer runs where none is held
@@ -91,7 +90,7 @@
         self.warmth = 1.0  # least share of its capacity that the rules let it have by now
         self.count = self.uncredited = self.fails = self.errors = 0
         self.shut_until = self.probed_at = self.heard_at = -math.inf
-        self.cold_credit, self.cold_at = 0.0, -math.inf
+        self.cold_credit, self.cold_at = 0.0, math.inf  # calls to it while it is cold; when they were last reckoned
         self.ticket: _Request | None = None
         self.loads: Counter[int | None] = Counter()  # attempts of loads by the group they hold
 
@@ -226,6 +225,7 @@
             engine = self.engines.get(entry.engine)
             if engine is None:
                 engine = self.engines[entry.engine] = _Engine(entry, self.floor)
+                engine.cold_at = self.now
                 if self.random.random() * count < self._wide():
                     engine.near, engine.odds = True, start
             elif entry.started_ms and entry.started_ms != engine.born:
@@ -234,6 +234,7 @@
                 engine.mute = engine.reported = False
                 engine.shut_until = engine.probed_at = -math.inf  # asked next, so that it is soon known
                 engine.others = engine.slow = engine.cold_credit = 0.0
+                engine.cold_at = self.now
             engine.zone, engine.kind, engine.cell = entry.zone, entry.kind, entry.cell
             engine.cores = self.cores.get(entry.kind or "", 1.0)
             engine.up = entry.state is EngineState.UP
@@ -335,14 +336,15 @@
 
     def may_send(self, request: _Request, engine: _Engine) -> bool:
         """All rules on one send. Nothing goes around it."""
-        return self._may_go(request) and self._may_use(request, engine)
+        return (self._may_go(request) and self._may_use(request, engine)
+                and (engine.ticket is request or not self._cold(engine)))
 
     def _may_use(self, request: _Request, engine: _Engine) -> bool:
-        """Rules on this engine: drains, placement, repeats, cold starts."""
+        """Rules on this engine: drains, placement, repeats, and who may use it while it is cold."""
         cls = request.cls
         return (engine.up and (cls.zones is None or engine.zone in cls.zones)
                 and (cls.kinds is None or engine.kind in cls.kinds)
-                and self._may_repeat(request, engine) and self._cold_room(engine, request))
+                and self._may_repeat(request, engine) and (engine.near or not self._cold(engine)))
 
     def _may_go(self, request: _Request) -> bool:
         """Rules that no choice of engine can mend: ended, copies, attempts, order, retry budget."""
@@ -395,33 +397,30 @@
         part = max(self.now - engine.born, 0.0) / max(rules.warm_within_ms, 1.0)
         return min(rules.cold_from + (1 - rules.cold_from) * part, 1.0)
 
+    def _cold(self, engine: _Engine) -> bool:  # whether the rules bound what it may be sent by all gateways
+        rules = self.rules
+        return (None not in (engine.born, rules.cold_from, rules.warm_within_ms, rules.tip_multiple, rules.fall_ms)
+                and self.now - engine.born <= rules.warm_within_ms + rules.fall_ms)
+
     def _cold_room(self, engine: _Engine, request: _Request) -> bool:
-        """Whether a cold engine may be sent this query now.
+        """Whether an engine, if it is cold, may be sent this query now.
 
-        This gateway's share of the budget comes in as credit; what is short of a query's work is staked on a draw that
-        wins in proportion: any number of gateways send what they may on average. Very costly queries have to wait.
+        The gateways that have it in their scope share its budget of calls of mean work. Each one's part comes in as
+        credit from when it heard of the start; small ones are staked on a draw that wins in proportion to the cost.
         """
-        rules = self.rules
-        if (None in (engine.born, rules.cold_from, rules.warm_within_ms, rules.tip_multiple, rules.fall_ms)
-                or self.now - engine.born > rules.warm_within_ms + rules.fall_ms or engine.ticket is request):
+        if not self._cold(engine):
             return True
+        rules = self.rules
         window = rules.tip_multiple * CAPACITY * engine.cores * self._warmth(engine) * rules.fall_ms
-        # The gateways that have it in their scope share it: those that look seldom would leave theirs unused.
-        sharing = self.gateways * (len(self.near) / len(self.up) if engine.near else 1.0)
-        cost, share = self._work(request), window / sharing
-        share *= COLD_PART * (1 - COLD_CHANCE * cost / (cost + share))
-        passed = (self.now - max(engine.cold_at, engine.born)) / max(rules.fall_ms, 1.0)
-        engine.cold_at = self.now
-        staked = COLD_SAVED * share < min(usual.work for usual in self.usual.values())
-        engine.cold_credit = min(engine.cold_credit + share * passed, (COLD_STAKED if staked else COLD_SAVED) * share)
-        if cost > COLD_LARGEST * window:
-            return False
-        if engine.cold_credit < cost and (not staked or self.random.random() * cost >= engine.cold_credit):
-            engine.cold_credit *= not staked  # kept for a cheaper query, else lost
-            return False
-        engine.cold_credit = max(engine.cold_credit - cost, 0.0)
-        engine.ticket = request
-        return True
+        share = COLD_PART * window / self.mean_work * len(self.up) / (len(self.near) * self.gateways)
+        gained = share * (self.now - engine.cold_at) / max(rules.fall_ms, 1.0)
+        cost = max(self._work(request) / self.mean_work, 1.0)
+        staked = cost > COLD_SAVED * share  # it could never be saved up
+        engine.cold_at, credit = self.now, min(engine.cold_credit + gained, COLD_SAVED * share)
+        won = credit > cost * (self.random.random() if staked else 1.0) and self._work(request) <= COLD_LARGEST * window
+        engine.cold_credit = max(credit - cost, 0.0) if won or staked else credit
+        engine.ticket = request if won else engine.ticket
+        return won
 
     def _send(self, request: _Request, engine: _Engine) -> bool:
         if not self.may_send(request, engine):
@@ -498,13 +497,15 @@
         if request.asked:  # of these, those that have answered
             drawn = [e for e in drawn if e not in request.asked] + [
                 e for e in request.asked if self._told(e) and self._fit(request, e)]
-        if not drawn:
-            return None
-        # By lot between equals: of many gateways that know little each would take the first of the list.
-        best = min(drawn, key=lambda e: (self._load(e) + request.cls.threads / e.cores, chance()))
-        if self._ask(request, best):
-            return None
-        return best if self._load(best) < self._room(request) or self._own_room(request) else None
+        while drawn:
+            # By lot between equals: of many gateways that know little each would take the first of the list.
+            best = min(drawn, key=lambda e: (self._load(e) + request.cls.threads / e.cores, chance()))
+            if self._ask(request, best) or self._load(best) >= self._room(request) and not self._own_room(request):
+                return None
+            if self._cold_room(best, request):
+                return best
+            drawn.remove(best)
+        return None
 
     def _told(self, engine: _Engine) -> bool:
         return self.now - engine.heard_at < STALE_MS
