--- a/tests/fleet_player.py
+++ b/tests/fleet_player.py
@@ -17,10 +17,11 @@
 from umberusher.decide import Gateway
 
 CORES, CAPACITY = 8, 0.85
-MIX = (  # share, mean work in ms, threads
-    (api.QueryClass("lookup", 500, 2500, 1, api.Effect.SAFE, aim_stretch=2, late_worth=0.1), 0.81, 125.0),
-    (api.QueryClass("report", 1500, 15_000, 10, api.Effect.SAFE, aim_stretch=2.5, late_worth=0.4, threads=2), 0.13, 3700),
-    (api.QueryClass("load", 3000, 25_000, 8, api.Effect.UNSAFE, aim_stretch=2.5, late_worth=0.6, threads=2), 0.06, 2350))
+SAFE, UNSAFE = api.Effect.SAFE, api.Effect.UNSAFE
+MIX = (  # class, its share, mean work in ms
+    (api.QueryClass("lookup", 500, 2500, 1, SAFE, aim_stretch=2, late_worth=0.1), 0.81, 125.0),
+    (api.QueryClass("report", 1500, 15_000, 10, SAFE, aim_stretch=2.5, late_worth=0.4, threads=2), 0.13, 3700),
+    (api.QueryClass("load", 3000, 25_000, 8, UNSAFE, aim_stretch=2.5, late_worth=0.6, threads=2), 0.06, 2350))
 MEAN_WORK = sum(share * work for _, share, work in MIX)
 RULES = {"cold_from": 0.35, "warm_within_ms": 15_000.0, "tip_multiple": 4.0, "fall_ms": 1500.0}
 
