Pass over known red tests by a file that can't go stale

KNOWN-RED.txt at the root names them (test, cause, issue; three at the most); the run prints them, and fails where one passes, is not found or is named wrongly. There is none now. Tested by runs of their own, each of which gives another verdict without the hooks.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.known_red import pytest_collection_modifyitems, pytest_terminal_summary  # noqa: F401  (hooks)
 from tests.rig import Rig
 
 
