Let a further attempt count for as long as it may have waited for its connection

By reading: the module counts a further attempt from its decision, the users from when it reaches its engine; between them lies up to limits.connect_timeout_ms. Two decided a window apart may so fall into one window. The slack (15 in 100 and one) bears it in a window of 10 s, not in one of 1 s. The window for what was spent is longer by that limit, which is read from the settings; the window for what was taken is not. The test fails without it.

--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -133,6 +133,7 @@
     ("domain.lanes_count", 1, "domain.lanes_count must be"),
     ("limits.max_attempts", 2.5, "limits.max_attempts must be a whole number"), ("fleet_size", 0, "fleet_size must be"),
     ("limits.keepalive_ms", float("nan"), "limits.keepalive_ms must be"),
+    ("limits.connect_timeout_ms", "250", "limits.connect_timeout_ms must be"),
     ("over_share_worth", 2, "over_share_worth must be"),
     ("contract.repeat_ratio", -0.1, "contract.repeat_ratio must be"), ("contract", [1], "contract must be an object"),
     ("accounts", {"a": 1}, "accounts must be a list"), ("accounts", [{}], "accounts[0].name is missing"),
--- a/tests/test_ration.py
+++ b/tests/test_ration.py
@@ -212,3 +212,18 @@
     bench.now += 700
     bench.arrive()
     assert list(bench.gateway.taken) == [arrived + 400, arrived + 1100]
+
+
+def test_a_further_attempt_counts_for_as_long_as_it_may_have_waited_for_its_connection():
+    """By reading: two further attempts decided just over a window apart reach their engines within one, where the
+    first one's connection came up late. In a window of 10 s the slack bears it, in one of 1 s it does not."""
+    bench = Bench(make_settings(rules=api.Rules(extra_free=1, extra_share=0, extra_window_ms=1000), connect_ms=250))
+    first, = only(bench.arrive()[1], api.Send)
+    assert only(bench.finish(first, api.Ending.ERROR), api.Send)
+    reached = bench.now + 240  # when its connection came up
+    bench.now += 1010
+    second, = only(bench.arrive()[1], api.Send)
+    sends = only(bench.finish(second, api.Ending.ERROR), api.Send)
+    while not sends:
+        sends = only(bench.tick(), api.Send)
+    assert sends[0].request == second.request and bench.now > reached + 1000
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -372,7 +372,7 @@
         since = self.now - rules.extra_window_ms
         while self.taken and self.taken[0] <= since:
             self.taken.popleft()
-        while self.extra and self.extra[0] < since:
+        while self.extra and self.extra[0] < since - self.settings.connect_ms:  # it may have gone out that much later
             self.extra.popleft()
         return len(self.extra) + 1 <= (rules.extra_free or 0) + (rules.extra_share or 0) * len(self.taken)
 
--- a/umberusher/interface.py
+++ b/umberusher/interface.py
@@ -193,6 +193,7 @@
     subscribe: bool = False
     notes_every_ms: float = 0.0
     keepalive_ms: float = 15_000.0
+    connect_ms: float = 0.0  # the most that an attempt waits for its connection to come up
     worth_by_work: bool = False
     over_share_worth: float = 1.0
     tenants: tuple[Tenant, ...] = ()
@@ -208,7 +209,7 @@
             raise ValueError("Settings.classes must have names that differ")
         if len({item.name for item in self.tenants}) != len(self.tenants):
             raise ValueError("Settings.tenants must have names that differ")
-        _check("Settings", self, 0, "tick_ms", "notes_every_ms", "over_share_worth")
+        _check("Settings", self, 0, "tick_ms", "notes_every_ms", "over_share_worth", "connect_ms")
         _check("Settings", self, 1, "keepalive_ms")
         _check("Settings", self, 1, "gateways")
 
--- a/umberusher/wire.py
+++ b/umberusher/wire.py
@@ -226,7 +226,7 @@
     "domain.lanes_count": FLAG, "domain.tells_every_ms": _from(0),
     "limits.max_attempts": _from(1, whole=True), "limits.second_copies": FLAG, "limits.cancel": FLAG,
     "limits.probes": FLAG, "limits.retry_after": FLAG, "limits.max_retry_after_ms": _from(0),
-    "limits.keepalive_ms": _from(1),
+    "limits.keepalive_ms": _from(1), "limits.connect_timeout_ms": _from(1),
     **{f"contract.{name}": _from(0) for name in (
         "drain_grace_ms", "warm_within_ms", "tip_multiple", "fall_ms", "settle_after_doubt_ms", "spare_attempts",
         "repeat_ratio", "counted_over_ms", "ask_within_ms")},
@@ -326,7 +326,7 @@
                                       late_fail="late_fail", cross_zone="cross_zone")),
             **_pick(raw, zone="zone", gateways="fleet_size", tick_ms="round_ms",
                     over_share_worth="over_share_worth"),
-            **_pick(limits, keepalive_ms="keepalive_ms"),
+            **_pick(limits, keepalive_ms="keepalive_ms", connect_ms="connect_timeout_ms"),
             **_pick(domain, notes_every_ms="tells_every_ms"))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise WireError(f"expected a settings object in conf: {error}") from None
