Send nothing again over a connection to an address that its engine has left

Found by forcing each event between the choice of a connection and the first byte (drain, gone, moved, ban, leave, cancel, deadline, connection given up; lookup and load): where an engine had moved and its connection was still coming up, the request was taken back, the module sent it again at once, and it went over the same connection to the old address, for `old` was set only after that (Send._retire_engine; two cases failed). Set first now. Siblings looked at: a drain is told to the module before it takes back, a ban too; both hold.

The log names when a start is over and what held it up.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -284,6 +284,117 @@
     assert b"REQ" not in engine.read()
 
 
+# -- Between choosing a connection and the first byte
+
+@pytest.fixture
+def held_up(monkeypatch):
+    """Connections to engines that do not come up until they are let; gives what lets them."""
+    waiting, real = [], connection.Connection._check_up
+    monkeypatch.setattr(connection.Connection, "_check_up", lambda self: waiting.append(self))
+
+    def let() -> None:
+        monkeypatch.setattr(connection.Connection, "_check_up", real)
+        for conn in waiting:
+            conn._check_up()
+    yield waiting, let
+
+
+@pytest.mark.parametrize("event", ["drains", "gone", "moved", "banned", "leaves", "cancels", "late", "elsewhere"])
+@pytest.mark.parametrize("method", ["lookup", "load"])
+def test_what_comes_before_the_first_byte_keeps_the_request_from_going_there(rig, held_up, event, method):
+    waiting, let = held_up
+    rig = rig()
+    broker, client = rig.broker, rig.client()
+    rid = rig.ask(client, method, **({"obj": "k"} if method == "load" else {}))
+    attempt = broker.book.tickets[rid].attempt
+    rig.until(lambda: waiting)
+    rig.now += 0.1
+    if event == "drains":
+        broker.route.take(rig.notice(("s-0", "s-0", "DRAINING")))
+    elif event == "gone":
+        broker.route.take(rig.notice(("s-0", "s-0", "DELETED")))
+    elif event == "moved":
+        rig.listeners["s-9"] = rig._listen()
+        broker.route.take(rig.notice(("s-0", "s-9", "SERVING")))
+    elif event == "banned":
+        broker.route.ban("s-0")
+    elif event == "leaves":
+        client.sock.close()
+    elif event == "cancels":
+        client.sock.send(interrupt(rig.seqid))
+    elif event == "late":
+        rig.now += 2.0
+    else:  # the connection has had its time: it is closed, and the request goes by another
+        rig.now += 0.2
+    for _ in range(3):
+        rig.step(0)
+    let()
+    for _ in range(10):
+        rig.step(0)
+    assert attempt.ended and attempt.reach <= 1
+    if event in ("leaves", "cancels"):
+        assert rid not in broker.book.tickets and not client.read()
+    if event == "late":
+        assert b"backoff" in rig.answer(client) and not broker.book.tickets
+    rig.later(100)
+    first = rig.accept("s-0")
+    assert b"REQ" not in first.read()
+    if event in ("moved", "elsewhere"):
+        rig.expect(rig.accept("s-9" if event == "moved" else "s-0"), f"REQ {rid}".encode())
+
+
+def test_connections_to_all_engines_that_come_up_late_cost_one_answer_in_time(rig, held_up):
+    waiting, let = held_up
+    rig = rig(3)
+    client = rig.client()
+    rid = rig.ask(client)
+    for _ in range(130):  # all of its time
+        rig.later(20)
+        assert sum(len(link.attempts) for links in rig.broker.send.links.values() for link in links) <= 1
+        if rid not in rig.broker.book.tickets:
+            break
+    assert b"backoff" in rig.answer(client) and not client.got
+    let()
+    rig.later(100)
+    for name in ("s-0", "s-1", "s-2"):
+        while True:
+            try:
+                engine = rig.keep(Peer(rig.listeners[name].accept()[0]))
+            except BlockingIOError:
+                break
+            assert b"REQ" not in engine.read()
+
+
+# -- What may not be repeated
+
+@pytest.mark.parametrize("moment", ["at once", "long after", "pages"])
+@pytest.mark.parametrize("ending", [False, True])
+def test_a_load_whose_connection_resets_fails_once_and_is_never_sent_again(rig, moment, ending):
+    rig = rig(2)
+    client = rig.client()
+    rid = rig.ask(client, "load", obj="k", budget="20000")
+    engine = rig.accept(rig.broker.book.tickets[rid].attempt.engine)
+    rig.expect(engine, b"park_1.sites\r\n")
+    if ending:
+        rig.broker.loop.running = True
+        rig.broker.stop()
+    if moment == "pages":
+        engine.sock.send(f"{rid} HIT count=2 6\r\na\t1\t2\n\r\n".encode())
+        rig.expect(engine, b"FETCH")
+    elif moment == "long after":
+        rig.later(1500 if ending else 3000)
+    engine.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    engine.sock.close()
+    assert struct.pack(">bh", 12, 2) in rig.answer(client)  # Aborted
+    rig.later(1000)
+    assert not client.got and rig.broker.book.counts["failed"] == 1 and not rig.broker.book.tickets
+    for name in ("s-0", "s-1"):
+        try:
+            assert b"REQ" not in rig.keep(Peer(rig.listeners[name].accept()[0])).read()
+        except BlockingIOError:
+            pass
+
+
 # -- Attempts that end
 
 def test_a_second_answer_is_not_taken_for_the_next_attempt_s(rig):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import copy
+import errno
 import json
+import socket
 
 import pytest
 
 from umberusher.interface import EngineState
+from umberusher.net import connection
+from umberusher.net.connection import State
 
 
 def tell(rig, entry: dict) -> None:
@@ -44,3 +49,137 @@
     rig = rig()
     tell(rig, {"instanceId": "s-9", "lifecycle": "SERVING"})
     assert "s-9" not in rig.broker.route.members and rig.broker.route.members["s-0"].state is EngineState.UP
+
+
+def ask(rig, name: str = "board"):
+    """The next poll, on a connection of its own."""
+    peer = rig.accept(name)
+    rig.expect(peer, b"GET /board/poll?watch=")
+    return peer
+
+
+def listed(rig, *entries, reset: bool = False) -> bytes:
+    body = json.dumps(rig.notices(*entries, reset=reset)).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+def fresh_at(rig, name: str) -> None:
+    """A new configuration that names this board; read at once."""
+    fresh = copy.deepcopy(rig.broker.config)
+    fresh.board = rig.listeners[name].getsockname()
+    rig.broker.reread = lambda: fresh
+    rig.broker._reload()
+
+
+def test_an_answer_cut_in_the_middle_is_given_up_and_its_drain_heard_on_a_new_connection(rig):
+    rig = rig(2)
+    rig.expect(rig.board, b"GET")
+    told = listed(rig, ("s-0", "s-0", "DRAINING"))
+    rig.board.sock.send(told[:-20])  # and nothing more: the connection stays open
+    rig.later(600)
+    assert rig.broker.route.find("s-0") and not rig.board.ended
+    rig.later(200)
+    ask(rig).sock.send(told)
+    rig.until(lambda: rig.broker.route.find("s-0") is None)
+
+
+def test_a_drain_that_is_told_while_nobody_listens_is_heard_first_thing(rig):
+    rig = rig(2)
+    rig.board.sock.close()
+    told = listed(rig, ("s-0", "s-0", "DRAINING"))
+    rig.later(100)
+    ask(rig).sock.send(told)
+    rig.until(lambda: rig.broker.route.find("s-0") is None)
+
+
+@pytest.mark.parametrize("moment", ["poll", "rest", "back-off", "connect", "answered"])
+def test_a_new_configuration_at_any_moment_moves_the_poll_and_the_old_board_is_heard_no_more(rig, moment):
+    rig = rig(2)
+    rig.listeners["other"] = rig._listen()
+    board, old = rig.broker.board, rig.board
+    rig.expect(old, b"GET")
+    if moment == "rest":  # the old board does not wait
+        for _ in range(3):
+            old.got = b""
+            old.sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n" + b'{"rev":1,"notices":[]}')
+            rig.later(40)
+    elif moment == "back-off":
+        place = rig.listeners.pop("board")
+        place.close()
+        old.sock.close()
+        rig.until(lambda: rig.later(20) or board.conn is None)
+    elif moment == "connect":
+        board._drop()
+        board.start()
+        assert board.conn.state is State.CONNECTING
+    elif moment == "answered":  # its answer lies with the kernel when the configuration is read
+        old.sock.send(listed(rig, ("s-1", "s-1", "DRAINING")))
+    rig.rev = 1
+    fresh_at(rig, "other")
+    new = ask(rig, "other")
+    if moment == "poll":  # old and new answer crosswise
+        try:
+            old.sock.send(listed(rig, ("s-1", "s-1", "DRAINING")))
+        except OSError:
+            pass
+        rig.rev = 1
+    new.sock.send(listed(rig, ("s-0", "s-0", "DRAINING")))
+    rig.until(lambda: rig.broker.route.find("s-0") is None)
+    rig.later(3000)
+    assert rig.broker.route.find("s-1") and board.address == rig.listeners["other"].getsockname()
+
+
+def test_a_complete_list_of_nothing_takes_every_engine_away_and_the_next_brings_them_back(rig):
+    rig = rig(2)
+    rig.board.sock.send(listed(rig, reset=True))
+    rig.until(lambda: not rig.broker.route.members)
+    assert not rig.broker.good() and not rig.broker.gateway.up
+    rig.expect(rig.board, b"watch=2")
+    rig.board.sock.send(listed(rig, ("s-0", "s-0", "SERVING")))
+    rig.until(lambda: rig.broker.route.find("s-0"))
+    assert rig.broker.good()
+
+
+def test_numbers_that_go_back_change_nothing_and_are_not_asked_in_a_circle(rig):
+    rig = rig(2)
+    rig.news(("s-0", "s-0", "SERVING"))
+    seen, rig.rev = rig.broker.route.rev, 0
+    rig.board.read()
+    rig.board.got = b""
+    for _ in range(20):
+        rig.rev = 0
+        rig.board.sock.send(listed(rig, ("s-0", "s-0", "DELETED"), reset=True))
+        rig.later(20)
+    assert rig.broker.route.rev == seen and rig.broker.route.find("s-0")
+    assert rig.board.read().count(b"GET") <= 8
+
+
+def test_without_a_descriptor_the_board_is_asked_again_later(rig, monkeypatch):
+    rig = rig()
+    real, left = socket.socket, [3]
+
+    def short(*args, **more):
+        if left[0]:
+            left[0] -= 1
+            raise OSError(errno.EMFILE, "too many")
+        return real(*args, **more)
+
+    monkeypatch.setattr(connection.socket, "socket", short)
+    rig.board.sock.close()
+    rig.later(1000)
+    monkeypatch.undo()
+    assert not left[0]
+    ask(rig)
+
+
+@pytest.mark.parametrize(("entries", "told"), [
+    ([("s-0", "s-0", "SERVING")], "ready after 3.1 s with 1 engines: the notice board at "),
+    ([], "not ready after 3.1 s: no engine is listed")])
+def test_the_log_names_what_holds_a_start_up(rig, caplog, entries, told):
+    caplog.set_level("INFO", logger="umberusher.broker")
+    rig = rig(len(entries))
+    rig.broker.board.heard = False
+    rig.broker.told_start = ""
+    rig.later(4000)
+    lines = [r.getMessage() for r in caplog.records if "ready" in r.getMessage()]
+    assert len(lines) == 1 and lines[0].startswith(told)
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -68,6 +68,7 @@
         self.pumping = False
         self.stopping_at: float | None = None
         self.told = False  # the log has the word of the end
+        self.told_start = ""  # the log's last word on the start
         self.crowd: int | None = None  # most requests that were open since memory became short
         limits = config.settings.limits
         descriptors = config.sockets - RESERVED
@@ -116,6 +117,19 @@
         fresh = self.board.heard or self.loop.clock() - self.started_at > FRESH_S
         return bool(self.route.members) and fresh and self.stopping_at is None
 
+    def _tell_start(self) -> None:
+        """One line once clients may come, with what held that up; one before where nothing but the list does."""
+        passed = self.loop.clock() - self.started_at
+        if self.told_start == "ready" or self.stopping_at is not None:
+            return
+        if self.good():
+            log.info("ready after %.1f s with %d engines%s", passed, len(self.route.members),
+                     "" if self.board.heard else f": the notice board at {self.board.address} has said nothing yet")
+            self.told_start = "ready"
+        elif passed > FRESH_S and not self.told_start:
+            log.warning("not ready after %.1f s: no engine is listed", passed)
+            self.told_start = "no engine"
+
     def ready(self) -> bool:
         """Whether this process can serve."""
         return self.good() and self.serving
@@ -302,6 +316,7 @@
             self.front.sweep()
             self.send.sweep()
         self.door.sweep()
+        self._tell_start()
         if self.gate:
             self.gate.sweep()
         self._share()
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -506,10 +506,13 @@
             self._close_if_idle(link)
 
     def _retire_engine(self, member: Member) -> None:
-        """The engine has moved or started anew: its old connections finish what they carry and are not used again."""
-        self._stop_engine(member)
+        """The engine has moved or started anew: its old connections finish what they carry and are not used again.
+
+        That comes first: what is taken back is sent again at once, and must not go over them.
+        """
         for link in self.links.get(member.engine, ()):
             link.old = True
+        self._stop_engine(member)
 
     # -- Connections
 
