Charge a call to a cold engine half as a call and half by its work

Now the charge is the mean of one call and of its work in calls, so that calls that are all cheap or all costly stay within the budget too; engines whose credit can't do are no candidates; 0.65 of the budget comes in and half a window of it is saved up, together the whole of a window.

--- /dev/null
+++ b/tests/test_random_crossings.py
@@ -0,0 +1,342 @@
+"""Random crossings: clients, engines, the board and signals in any order, on real sockets and a fake clock.
+
+The machine plays everyone but the broker and asks after each step: one answer for each call that is owed one, one
+attempt out, nothing sent for who has left, nothing to an engine that drains, no load twice, descriptors accounted for.
+"""
+
+from __future__ import annotations
+
+import re
+import socket
+import struct
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule, run_state_machine_as_test
+
+from tests.life_player import ROWS, interrupt
+from tests.rig import Peer, Rig
+from tests.test_codecs import execute
+from umberusher.broker import Broker
+from umberusher.interface import Ending
+from umberusher.net.ring import Ring
+from umberusher.protocol import thrift
+from umberusher.stages import book
+from umberusher.stages.admit import Admit
+from umberusher.stages.route import Route
+from umberusher.stages.take_in import Client, TakeIn
+
+REQ = re.compile(rb"REQ (\w+) lane=(\w+)\S* (\d+)\r\n")
+ENGINES = ("s-0", "s-1", "s-2")
+LEFT_MS, DRAIN_MS = 100.0, 250.0
+
+
+@dataclass(eq=False)
+class Call:
+    rid: str
+    seqid: int
+    load: bool
+    left_ms: float | None = None  # since when nothing is owed
+    answers: int = 0
+    ran: bool = False  # an engine has it whole and has not said that it never ran
+    out: Peer | None = None  # the engine's connection that has it
+
+
+@dataclass(eq=False)
+class Caller:
+    peer: Peer
+    calls: dict[int, Call] = field(default_factory=dict)
+    gone: bool = False
+    seqid: int = 0
+
+
+class Crossings(RuleBasedStateMachine):
+    """Everyone but the broker."""
+
+    @initialize()
+    def begin(self):
+        self.rig = Rig(len(ENGINES))
+        self.callers, self.calls, self.links = [], {}, []
+        self.drained = dict.fromkeys(ENGINES, None)
+        self.stopped_ms, self.count, self.ended = None, 0, False
+        self.look()
+
+    @property
+    def now_ms(self):
+        return self.rig.now * 1000.0
+
+    # -- Looking
+
+    def look(self):
+        """Let the broker act until it is quiet, read all, and check what is seen."""
+        for _ in range(4):
+            if not self.ended:
+                self.rig.step(0)
+            if self.stopped_ms is not None and not self.rig.broker.loop.running and not self.ended:
+                self.ended = True
+                self.rig.broker.close()
+            for name in ENGINES:
+                try:
+                    peer = self.rig.keep(Peer(self.rig.listeners[name].accept()[0]))
+                except BlockingIOError:
+                    continue
+                peer.name = name
+                self.links.append(peer)
+            for peer in self.links:
+                self.engine_reads(peer)
+            for caller in self.callers:
+                self.client_reads(caller)
+        self.check()
+
+    def engine_reads(self, peer):
+        peer.read()
+        while (found := REQ.search(peer.got)) and len(peer.got) >= found.end() + int(found[3]) + 2:
+            peer.got = peer.got[found.end() + int(found[3]) + 2:]
+            call = self.calls[found[1].decode()]
+            assert call.left_ms is None or self.now_ms - call.left_ms <= LEFT_MS, "sent for a client who has left"
+            assert call.out is None or call.out.ended, "two attempts out"
+            assert not (call.load and call.ran), "a load was sent twice"
+            since = self.drained[peer.name]
+            assert since is None or self.now_ms - since <= DRAIN_MS, "sent to an engine that drains"
+            call.out, call.ran = peer, True
+        for call in [call for call in self.calls.values() if call.out is peer]:
+            if f"STOP {call.rid}".encode() in peer.got or f"END {call.rid}".encode() in peer.got:
+                call.out = None
+
+    def client_reads(self, caller):
+        if caller.gone:
+            return
+        ring = Ring(1 << 20)
+        ring.write(caller.peer.read())
+        while (frame := thrift.next_frame(ring)) is not None:
+            seqid, = struct.unpack(">i", frame[frame.index(b"execute") + 7:][:4])
+            call = caller.calls[seqid]
+            call.answers += 1
+            assert call.answers == 1 and (call.left_ms is None or self.crossed(call)), "an answer too many"
+            if b"backoff" in frame:
+                assert not (call.load and call.ran), "refused what may have run"
+        caller.peer.got = ring.take(len(ring))
+        if caller.peer.ended:
+            owed = [call for call in caller.calls.values() if not call.answers and call.left_ms is None]
+            assert not owed, "closed with an answer owed"
+            caller.gone = True
+            caller.peer.sock.close()
+
+    def crossed(self, call):
+        return self.now_ms - call.left_ms < 1.0
+
+    def check(self):
+        if self.ended:
+            return
+        broker = self.rig.broker
+        out = [attempt for links in broker.send.links.values() for link in links for attempt in link.attempts.values()]
+        assert len({attempt.ticket.rid for attempt in out}) == len(out)
+        assert not any(ticket.open and not self.owed(rid) for rid, ticket in broker.book.tickets.items()), "not owed"
+        for call in self.calls.values():
+            if self.owed(call.rid) and call.read:
+                assert broker.book.tickets[call.rid].open, "forgotten"
+        there = sum(not caller.gone for caller in self.callers)
+        assert len(broker.front.clients) + len(broker.front.ending) <= len(self.callers)
+        assert len(broker.front.clients) <= there
+
+    def owed(self, rid):
+        call = self.calls[rid]
+        return call.left_ms is None and not call.answers
+
+    # -- Clients
+
+    @rule()
+    @precondition(lambda self: self.stopped_ms is None and sum(not c.gone for c in self.callers) < 4)
+    def comes(self):
+        self.callers.append(Caller(self.rig.client()))
+        self.look()
+
+    @rule(number=st.integers(0, 3), loads=st.lists(st.booleans(), min_size=1, max_size=3))
+    @precondition(lambda self: self.may_ask())
+    def asks_for_some(self, number, loads):
+        for load in loads:
+            if self.may_ask():
+                self.asks(number, load, "")
+
+    @rule(number=st.integers(0, 3), load=st.booleans(), leaves=st.sampled_from(["interrupt", "close"]))
+    @precondition(lambda self: self.may_ask())
+    def asks_and_leaves(self, number, load, leaves):
+        self.asks(number, load, leaves)
+
+    def may_ask(self):
+        return not self.ended and (self.stopped_ms is None or any(not caller.gone for caller in self.callers))
+
+    def asks(self, number, load, leaves):
+        if all(caller.gone for caller in self.callers):
+            self.comes()
+        there = [caller for caller in self.callers if not caller.gone]
+        caller = there[number % len(there)]
+        caller.seqid += 1
+        self.count += 1
+        call = Call(f"{self.count:016x}", caller.seqid, load)
+        call.read = False
+        fields = {"method": "load" if load else "lookup", "rid": call.rid, "budget": "2000"}
+        fields |= {"obj": "k"} if load else {}
+        data = execute(call.seqid, fields, b"select 1")
+        caller.calls[call.seqid] = self.calls[call.rid] = call
+        if leaves == "interrupt":  # in the same bytes
+            data += interrupt(call.seqid)
+            call.left_ms = self.now_ms
+        if not self.write(caller, data):
+            call.left_ms = self.now_ms  # it crossed a close
+        elif leaves == "close" and len(there) > 2:
+            self.goes(caller)
+        self.look()
+        if call.left_ms is None and not call.answers and not caller.gone:
+            call.read = call.rid in self.rig.broker.book.tickets if not self.ended else False
+
+    def write(self, caller, data):
+        try:
+            caller.peer.sock.send(data)
+        except OSError:
+            return False
+        # After the broker has shut its side a call is one that crossed the close: its client asks again elsewhere.
+        caller.peer.read()
+        return not caller.peer.ended
+
+    def goes(self, caller, way="close"):
+        caller.gone = True
+        for call in caller.calls.values():
+            if not call.answers and call.left_ms is None:
+                call.left_ms = self.now_ms
+        if way == "reset":
+            caller.peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if way == "half":
+            caller.peer.sock.shutdown(socket.SHUT_WR)
+        else:
+            caller.peer.sock.close()
+
+    @rule(number=st.integers(0, 3), way=st.sampled_from(["close", "reset", "half"]))
+    @precondition(lambda self: sum(not c.gone for c in self.callers) > 2)
+    def leaves(self, number, way):
+        there = [caller for caller in self.callers if not caller.gone]
+        self.goes(there[number % len(there)], way)
+        self.look()
+
+    @rule(number=st.integers(0, 9))
+    @precondition(lambda self: sum(self.owed(rid) for rid in self.calls) > 2)
+    def takes_back(self, number):
+        waiting = [(caller, call) for caller in self.callers if not caller.gone
+                   for call in caller.calls.values() if self.owed(call.rid)]
+        if waiting:
+            caller, call = waiting[number % len(waiting)]
+            if self.write(caller, interrupt(call.seqid)):
+                call.left_ms = self.now_ms
+        self.look()
+
+    # -- Engines
+
+    @rule(number=st.integers(0, 9), word=st.sampled_from(["HIT", "HIT", "first", "page"]))
+    @precondition(lambda self: self.something_out())
+    def answers_well(self, number, word):
+        self.answers(number, word)
+
+    @rule(number=st.integers(0, 9), word=st.sampled_from(["SHED", "FAULT", "LATE", "SHED"]))
+    @precondition(lambda self: self.something_out())
+    def answers_no(self, number, word):
+        self.answers(number, word)
+
+    @rule(number=st.integers(0, 9), word=st.sampled_from(["half", "reset", "twice", "junk"]))
+    @precondition(lambda self: self.something_out())
+    def answers_badly(self, number, word):
+        self.answers(number, word)
+
+    def something_out(self):
+        return any(call.out and not call.out.ended for call in self.calls.values())
+
+    def answers(self, number, word):
+        out = [call for call in self.calls.values() if call.out and not call.out.ended]
+        call = out[number % len(out)]
+        peer, rid = call.out, call.rid.encode()
+        if word == "reset":
+            peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.close(peer)
+        else:
+            hit = rid + b" HIT count=1 6\r\n" + ROWS + b"\r\n"
+            data = {"HIT": hit, "first": hit.replace(b"=1", b"=2"), "page": rid + b" PART pos=1 6\r\n" + ROWS + b"\r\n",
+                    "half": hit[:-9], "twice": hit + rid + b" FAULT -\r\n", "junk": b"\0\xff\r\n"}.get(
+                word, rid + f" {word} -\r\n".encode())
+            try:
+                peer.sock.send(data)
+            except OSError:
+                self.close(peer)
+            if word in ("HIT", "SHED", "FAULT", "LATE", "twice"):
+                call.out = None
+            if word in ("SHED", "LATE"):
+                call.ran = False
+            if word in ("half", "junk"):
+                self.close(peer)
+        self.look()
+
+    def close(self, peer):
+        peer.sock.close()
+        peer.ended, peer.read = True, lambda: b""
+
+    # -- The board, signals, time
+
+    @rule(engine=st.sampled_from(ENGINES), state=st.sampled_from(["DRAINING", "DELETED", "SERVING"]))
+    @precondition(lambda self: not self.ended and self.calls)
+    def told(self, engine, state):
+        if state != "SERVING" and sum(since is None for since in self.drained.values()) == 1:
+            return  # one goes on: with none there is nothing to cross
+        self.rig.broker.route.take(self.rig.notice((engine, engine, state)))
+        self.drained[engine] = None if state == "SERVING" else self.drained[engine] or self.now_ms
+        self.look()
+
+    @rule()
+    @precondition(lambda self: self.stopped_ms is None and len(self.calls) > 3)
+    def sigterm(self):
+        self.rig.broker.loop.running = True
+        self.rig.broker.stop()
+        self.stopped_ms = self.now_ms
+        self.look()
+
+    @rule(ms=st.sampled_from([5, 60, 200, 600, 1200]))
+    def waits(self, ms):
+        for _ in range(6):
+            self.rig.now += ms / 6000
+            self.look()
+
+    def teardown(self):
+        if not hasattr(self, "rig"):
+            return
+        try:
+            for _ in range(60):  # each call has had its answer by its deadline, whatever engines do
+                self.rig.now += 0.1
+                self.look()
+            for call in self.calls.values():
+                assert not self.owed(call.rid), f"{call.rid} never got its answer"
+            assert self.ended or not self.rig.broker.book.tickets and not self.rig.broker.gateway.requests
+            assert self.stopped_ms is None or self.ended, "it does not end"
+        finally:
+            self.rig.close()
+
+
+SETTINGS = settings(max_examples=40, stateful_step_count=30, deadline=None, derandomize=True, database=None,
+                    suppress_health_check=list(HealthCheck))
+
+
+def test_random_crossings():
+    run_state_machine_as_test(Crossings, settings=SETTINGS)
+
+
+@pytest.mark.parametrize(("where", "name", "bug", "told"), [
+    (book, "ending_of", lambda fault: Ending.NO_CONNECTION, "a load was sent twice|refused what may have run"),
+    (Admit, "leave", lambda self, ticket: None, "who has left|not owed"),
+    (Client, "_interrupt", lambda self, seqid: None, "an answer too many|not owed"),
+    (Route, "find", lambda self, engine: self.members.get(engine), "engine that drains"),
+    (TakeIn, "ebb", lambda self: [each.conn.close("") for each in list(self.clients)], "answer owed|forgotten|never"),
+    (Broker, "_ended", lambda self, passed: passed > 0.05, "answer owed|never got"),
+    (Client, "overdue", lambda self, now_ms: "idle" if self.open else "", "answer owed|forgotten"),
+], ids=["never-run", "leave", "interrupt", "drain", "close", "end", "idle"])
+def test_a_seeded_bug_is_found(monkeypatch, where, name, bug, told):
+    monkeypatch.setattr(where, name, bug)
+    with pytest.raises(Exception, match=told):  # of hypothesis, or of the check itself
+        run_state_machine_as_test(Crossings, settings=settings(SETTINGS, phases=[Phase.generate]))
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -65,7 +65,7 @@
 ERRORS = 3  # error answers in a row that eject, each to a query that another engine then served
 ERRED_MOST = 2  # error answers after which it is the query that is at fault
 # -- Cold start (share)
-COLD_PART, COLD_SAVED = 0.6, 2 / 3  # part of the budget; windows of it saved up: with a window's own, the whole
+COLD_PART, COLD_SAVED = 0.65, 0.5  # part of the budget; windows of it saved up: both in one window are the whole
 COLD_LARGEST = 0.9  # the largest query, of the whole budget
 CAPACITY = 0.85  # a core's output that counts as capacity
 # -- Rhythm
@@ -402,23 +402,23 @@
         return (None not in (engine.born, rules.cold_from, rules.warm_within_ms, rules.tip_multiple, rules.fall_ms)
                 and self.now - engine.born <= rules.warm_within_ms + rules.fall_ms)
 
-    def _cold_room(self, engine: _Engine, request: _Request) -> bool:
-        """Whether an engine, if it is cold, may be sent this query now.
+    def _cold_room(self, engine: _Engine, request: _Request, going: bool) -> bool:
+        """Whether an engine, if it is cold, may be sent this query now; not ``going``, whether that is to be tried.
 
-        The gateways that have it in their scope share its budget of calls of mean work. Each one's part comes in as
-        credit from when it heard of the start; small ones are staked on a draw that wins in proportion to the cost.
-        """
+        The gateways with it in scope share its budget of calls of mean work. Each one's part comes in as credit from
+        when it heard of the start; one that is short of a call is staked on a draw that wins in proportion."""
         if not self._cold(engine):
             return True
         rules = self.rules
         window = rules.tip_multiple * CAPACITY * engine.cores * self._warmth(engine) * rules.fall_ms
         share = COLD_PART * window / self.mean_work * len(self.up) / (len(self.near) * self.gateways)
-        gained = share * (self.now - engine.cold_at) / max(rules.fall_ms, 1.0)
-        cost = max(self._work(request) / self.mean_work, 1.0)
+        credit = min(engine.cold_credit + share * (self.now - engine.cold_at) / (rules.fall_ms or 1.0), COLD_SAVED * share)
+        cost = (1 + self._work(request) / self.mean_work) / 2  # it counts as a call, and by its work
         staked = cost > COLD_SAVED * share  # it could never be saved up
-        engine.cold_at, credit = self.now, min(engine.cold_credit + gained, COLD_SAVED * share)
-        won = credit > cost * (self.random.random() if staked else 1.0) and self._work(request) <= COLD_LARGEST * window
-        engine.cold_credit = max(credit - cost, 0.0) if won or staked else credit
+        if not going or self._work(request) > COLD_LARGEST * window:
+            return not going and (staked or credit > cost)
+        won = credit > cost * (self.random.random() if staked else 1.0)
+        engine.cold_at, engine.cold_credit = self.now, max(credit - cost, 0.0) if won or staked else credit
         engine.ticket = request if won else engine.ticket
         return won
 
@@ -502,7 +502,7 @@
             best = min(drawn, key=lambda e: (self._load(e) + request.cls.threads / e.cores, chance()))
             if self._ask(request, best) or self._load(best) >= self._room(request) and not self._own_room(request):
                 return None
-            if self._cold_room(best, request):
+            if self._cold_room(best, request, True):
                 return best
             drawn.remove(best)
         return None
@@ -528,7 +528,7 @@
         if strict and (engine is request.avoid or engine.loads[request.group] and (
                 request.cls.waits_for_load or request.cls.holds_group)):
             return False
-        return self._may_use(request, engine)
+        return self._may_use(request, engine) and self._cold_room(engine, request, False)
 
     def _two(self, request: _Request) -> list[_Engine]:  # random, for an empty draw
         few = not (request.doubt or request.cls.zones or request.cls.kinds)
