--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -405,14 +405,14 @@
     def _cold_room(self, engine: _Engine, request: _Request, going: bool) -> bool:
         """Whether an engine, if it is cold, may be sent this query now; not ``going``, whether that is to be tried.
 
-        The gateways with it in scope share its budget of calls of mean work. Each one's part comes in as credit from
-        when it heard of the start; one that is short of a call is staked on a draw that wins in proportion."""
+        The gateways with it in scope share its budget of calls. What is short of a call is staked on a draw."""
         if not self._cold(engine):
             return True
         rules = self.rules
         window = rules.tip_multiple * CAPACITY * engine.cores * self._warmth(engine) * rules.fall_ms
         share = COLD_PART * window / self.mean_work * len(self.up) / (len(self.near) * self.gateways)
-        credit = min(engine.cold_credit + share * (self.now - engine.cold_at) / (rules.fall_ms or 1.0), COLD_SAVED * share)
+        gained = share * (self.now - engine.cold_at) / (rules.fall_ms or 1.0)
+        credit = min(engine.cold_credit + gained, COLD_SAVED * share)
         cost = (1 + self._work(request) / self.mean_work) / 2  # it counts as a call, and by its work
         staked = cost > COLD_SAVED * share  # it could never be saved up
         if not going or self._work(request) > COLD_LARGEST * window:
