Let clients leave whose connections are gone with a successor that was killed

By reading the crossings of a hot restart: when the link to a successor closed, the old process kept the calls of the connections that it had passed on; nobody could get their answers, and they were held and sent again (Peer._closed). The test fails without the mend.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -97,6 +97,19 @@
     assert not client.ended
 
 
+def test_a_successor_that_dies_with_the_connections_has_their_clients_leave_the_old_process(rig, tmp_path):
+    """Their connections are gone with it: the old process went on with their calls, and sent them again."""
+    made, new, client, rid = passed_on(rig, tmp_path)
+    made.broker.loop.running = True
+    made.brokers.remove(new)
+    new.handover.close()  # killed: it has no time to say that its clients leave
+    new.close()
+    made.expect(made.engine, f"STOP {rid}\r\n".encode())
+    assert not made.broker.book.in_flight and not made.broker.gateway.requests
+    made.later(200)
+    assert not made.broker.loop.running
+
+
 @pytest.mark.parametrize("packet", [b"{]", b"[]", b'{"client":1}', b'{"client":1,"open":["x"]}'])
 def test_a_connection_that_comes_with_nonsense_is_not_taken(rig, tmp_path, packet):
     made, new = upgraded(rig, tmp_path)
@@ -359,6 +372,7 @@
     made.until(lambda: made.broker.route.rev == new.route.rev)
     assert "s-0" not in made.broker.route.members and made.broker.route.find("s-1") is None
     made.broker.route.take(made.notice(("s-2", "s-2", "DRAINING")))
+    made.broker.stop()  # in the same moment
     made.until(lambda: new.route.find("s-2") is None)
 
 
--- a/umberusher/handover.py
+++ b/umberusher/handover.py
@@ -260,6 +260,9 @@
             self._come()
             for client in self.clients.values():
                 client.desert()
+        else:
+            for client in self.clients.values():  # their connections are gone with the other process
+                client.gone()
         self.close_channel()
         self.owner.left(self)
 
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -356,6 +356,10 @@
         if found:
             self._leave(found)
 
+    def gone(self) -> None:
+        """The other process has the connection no more, and nobody else has it."""
+        self._closed("gone with the other process")
+
     def desert(self) -> None:
         """The process that had taken calls of this connection is no more: they have failed."""
         for seqid in [number for number, call in self.open.items() if isinstance(call, Abroad)]:
