Rename the notice board's client to discovery

noticeboard.py and NoticeBoard are discovery.py and Discovery, Broker.board is Broker.discovery, the log says 'discovery: ...'. Nothing on the wire or in the settings is renamed; no behaviour changes.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -423,7 +423,7 @@
     rig.broker.door.listen(("127.0.0.1", 0))
     door = rig.keep(Peer(socket.create_connection(rig.broker.door.listener.sock.getsockname())))
     rig.until(lambda: rig.broker.door.callers)
-    conns = [ours(rig).conn, rig.broker.board.conn, next(iter(rig.broker.door.callers)).conn,
+    conns = [ours(rig).conn, rig.broker.discovery.conn, next(iter(rig.broker.door.callers)).conn,
              *(link.conn for links in rig.broker.send.links.values() for link in links)]
     assert len(conns) == 4
     assert all(each.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) for each in conns)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -96,7 +96,7 @@
 def test_a_new_configuration_at_any_moment_moves_the_poll_and_the_old_board_is_heard_no_more(rig, moment):
     rig = rig(2)
     rig.listeners["other"] = rig._listen()
-    board, old = rig.broker.board, rig.board
+    board, old = rig.broker.discovery, rig.board
     rig.expect(old, b"GET")
     if moment == "rest":  # the old board does not wait
         for _ in range(3):
@@ -178,7 +178,7 @@
 def test_the_log_names_what_holds_a_start_up(rig, caplog, entries, told):
     caplog.set_level("INFO", logger="umberusher.broker")
     rig = rig(len(entries))
-    rig.broker.board.heard = False
+    rig.broker.discovery.heard = False
     rig.broker.told_start = ""
     rig.later(4000)
     lines = [r.getMessage() for r in caplog.records if "ready" in r.getMessage()]
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,7 +12,7 @@
 
 from tests.rig import Peer, Rig
 from tests.test_codecs import execute
-from umberusher import broker, handover, noticeboard
+from umberusher import broker, handover, discovery
 from umberusher.interface import EngineState
 from umberusher.net.loop import Loop
 
@@ -25,10 +25,10 @@
     new = made.successor()
     if accepts:
         made.board_of_new = made.accept("board")
-        made.expect(made.board_of_new, b"linger=%d " % noticeboard.FIRST_MS)
+        made.expect(made.board_of_new, b"linger=%d " % discovery.FIRST_MS)
         body = b'{"rev":%d,"notices":[]}' % made.rev
         made.board_of_new.sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-        made.until(lambda: new.board.heard)
+        made.until(lambda: new.discovery.heard)
         made.later(200)
         made.until(lambda: made.broker.handover.handed_over)
     return made, new
@@ -67,7 +67,7 @@
     made.later(200)
     body = b'{"rev":%d,"notices":[]}' % made.rev
     made.accept("board").sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-    made.until(lambda: new.board.heard)
+    made.until(lambda: new.discovery.heard)
     made.later(200)
     made.until(lambda: made.broker.front.held)
     made.broker.stop()
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -18,7 +18,7 @@
 from umberusher.decide import Gateway
 from umberusher.handover import Handover, Side, Taken, Use, take_over
 from umberusher.net.loop import Loop
-from umberusher.noticeboard import NoticeBoard
+from umberusher.discovery import Discovery
 from umberusher.protocol.board import document
 from umberusher.stages.admit import Admit
 from umberusher.stages.book import Book
@@ -89,7 +89,7 @@
                             descriptors - for_engines, Form(config.settings), config.memory_mb)
         if self.gate:
             self._join_gate(self.gate)
-        self.board = NoticeBoard(self.loop, config.board, lambda: self.route.rev, self.route.take)
+        self.discovery = Discovery(self.loop, config.board, lambda: self.route.rev, self.route.take)
         self.door = Door(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.ban, self.route.unban))
         self.handover = Handover(self.loop, path, Side(
             hello=self._hello, listener=lambda: self.front.listener and self.front.listener.sock, use=self._use,
@@ -114,7 +114,7 @@
         Guards drains: what the configuration knows is as old as the start took, and the board may have told more since.
         A board that says nothing holds a start up for a bounded time only.
         """
-        fresh = self.board.heard or self.loop.clock() - self.started_at > FRESH_S
+        fresh = self.discovery.heard or self.loop.clock() - self.started_at > FRESH_S
         return bool(self.route.members) and fresh and self.stopping_at is None
 
     def _tell_start(self) -> None:
@@ -124,7 +124,7 @@
             return
         if self.good():
             log.info("ready after %.1f s with %d engines%s", passed, len(self.route.members),
-                     "" if self.board.heard else f": the notice board at {self.board.address} has said nothing yet")
+                     "" if self.discovery.heard else f": the notice board at {self.discovery.address} has said nothing yet")
             self.told_start = "ready"
         elif passed > FRESH_S and not self.told_start:
             log.warning("not ready after %.1f s: no engine is listed", passed)
@@ -217,7 +217,7 @@
         if self.gate:
             for port in self.gate.whole.ports:
                 self.front.listen_more((self.config.listen[0], port))
-        self.board.start()
+        self.discovery.start()
         self._sweep()
 
     def _follow(self, taken: Taken) -> None:
@@ -304,7 +304,7 @@
         log.info("configuration read again: notice board at %s:%d", *found.board)
         if (found.listen, found.settings) != (self.config.listen, self.config.settings):
             log.warning("configuration: all but the notice board's address counts from the next start")
-        self.board.move(found.board)
+        self.discovery.move(found.board)
 
     def _sweep(self) -> None:
         # Planned first: a fault below must not end the sweeps, and with them the end of this process after SIGTERM.
@@ -380,6 +380,6 @@
         self.front.close()
         self.door.close()
         self.handover.close()
-        self.board.close()
+        self.discovery.close()
         self.send.close()
         self.loop.close()
--- a/umberusher/noticeboard.py
+++ b/umberusher/discovery.py
@@ -18,7 +18,7 @@
 BUFFER = 1 << 16
 
 
-class NoticeBoard:
+class Discovery:
     """The broker's side of the board."""
 
     def __init__(self, loop: Loop, address: tuple[str, int], rev: Callable[[], int],
@@ -49,7 +49,7 @@
     def _later(self, why: str) -> None:
         self._drop()
         if not self.closed:
-            log.warning("notice board: %s", why)
+            log.warning("discovery: %s", why)
             self.timer = self.loop.call_later(self.retry_ms, self.start)
             self.retry_ms = min(max(2 * self.retry_ms, RETRY_MS), RETRY_MOST_MS)
 
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -282,7 +282,7 @@
             broker.front.close()
             broker.door.close()
             broker.handover.close()
-            broker.board.close()
+            broker.discovery.close()
             broker.send.close()
         for child in self.children:
             if child.poll() is None:
