Rename the handover between processes to hot restart

handover.py and Handover are hot_restart.py and HotRestart, the log says 'hot restart: ...', tests and docs follow. Nothing on the wire or in the settings is renamed; no behaviour changes.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -90,7 +90,7 @@
 
     def successor(self) -> Broker:
         """Start the program beside itself; its start waits for the greeting, so the old one's loop runs meanwhile."""
-        new = Broker(self.broker.config, Loop(lambda: self.now), lambda: self.now, path=self.broker.handover.path,
+        new = Broker(self.broker.config, Loop(lambda: self.now), lambda: self.now, path=self.broker.hot_restart.path,
                      memory_mb=lambda: MEMORY_MB, gate=self.gate)
         new.gateway.prompt = 0.0
         begun = threading.Thread(target=new.start)
--- a/tests/test_handover.py
+++ b/tests/test_hot_restart.py
@@ -12,7 +12,7 @@
 
 from tests.rig import Peer, Rig
 from tests.test_codecs import execute
-from umberusher import broker, handover, discovery
+from umberusher import broker, discovery, hot_restart
 from umberusher.interface import EngineState
 from umberusher.net.loop import Loop
 
@@ -30,7 +30,7 @@
         made.board_of_new.sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
         made.until(lambda: new.discovery.heard)
         made.later(200)
-        made.until(lambda: made.broker.handover.handed_over)
+        made.until(lambda: made.broker.hot_restart.handed_over)
     return made, new
 
 
@@ -56,7 +56,7 @@
     second.sock.send(b"7777777777777777 HIT count=1 6\r\nb\t1\t2\n\r\n")
     assert b"b\t1\t2\n" in rig.answer(client)
     rig.later(200)
-    assert not client.ended and not rig.broker.loop.running and new.handover.listener is not None
+    assert not client.ended and not rig.broker.loop.running and new.hot_restart.listener is not None
 
 
 def passed_on(rig, tmp_path) -> tuple[Rig, broker.Broker, Peer, str]:
@@ -92,7 +92,7 @@
 
 def test_calls_of_a_process_that_died_get_their_answer_from_its_successor(rig, tmp_path):
     made, new, client, rid = passed_on(rig, tmp_path)
-    made.broker.handover.peers[0].conn.close("died")
+    made.broker.hot_restart.peers[0].conn.close("died")
     assert ABORTED in made.answer(client)
     assert not client.ended
 
@@ -102,7 +102,7 @@
     made, new, client, rid = passed_on(rig, tmp_path)
     made.broker.loop.running = True
     made.brokers.remove(new)
-    new.handover.close()  # killed: it has no time to say that its clients leave
+    new.hot_restart.close()  # killed: it has no time to say that its clients leave
     new.close()
     made.expect(made.engine, f"STOP {rid}\r\n".encode())
     assert not made.broker.book.in_flight and not made.broker.gateway.requests
@@ -114,7 +114,7 @@
 def test_a_connection_that_comes_with_nonsense_is_not_taken(rig, tmp_path, packet):
     made, new = upgraded(rig, tmp_path)
     ours, theirs = socket.socketpair()
-    socket.send_fds(made.broker.handover.peers[0].channel, [packet], [theirs.fileno()])
+    socket.send_fds(made.broker.hot_restart.peers[0].channel, [packet], [theirs.fileno()])
     theirs.close()
     made.later(100)
     assert not new.front.clients and ours.recv(1) == b"" and new.ready()
@@ -130,7 +130,7 @@
     made.answer(client)  # its deadline
     second = made.ask(client, "load", obj="k", budget="25000")
     made.expect(engine, second.encode())
-    made.broker.handover.peers[0].close_channel()
+    made.broker.hot_restart.peers[0].close_channel()
     made.broker.stop()
     made.broker.loop.running = True
     made.later(1500)
@@ -173,10 +173,10 @@
     rig = rig(1, str(tmp_path / "s"))
     new = rig.successor()
     told = []
-    monkeypatch.setattr(handover.Peer, "tell", lambda self, **message: told.append(message))
+    monkeypatch.setattr(hot_restart.Peer, "tell", lambda self, **message: told.append(message))
     for each in rig.brokers:
-        each.handover.peers[0]._take({"ban": ["s-0", 1.0]})
-        each.handover.peers[0]._take({"ban": ["s-0", None]})
+        each.hot_restart.peers[0]._take({"ban": ["s-0", 1.0]})
+        each.hot_restart.peers[0]._take({"ban": ["s-0", None]})
     assert not told and not new.route.banned
 
 
@@ -187,8 +187,8 @@
     for each in made.brokers:
         each.memory_mb = lambda: 80.0
     made.later(400)
-    assert made.broker.front.elsewhere == 1 and new.handover.others().memory_mb == 80.0
-    assert new.admit.tight is False and made.broker.handover.others().memory_mb == 80.0
+    assert made.broker.front.elsewhere == 1 and new.hot_restart.others().memory_mb == 80.0
+    assert new.admit.tight is False and made.broker.hot_restart.others().memory_mb == 80.0
     assert made.broker._tight((80 + 80) / 192, 10)
 
 
@@ -198,14 +198,14 @@
     made.brokers.remove(new)
     made.until(lambda: not made.broker.front.held)
     made.begun()
-    assert made.broker.handover.listener is not None
+    assert made.broker.hot_restart.listener is not None
 
 
 def test_a_link_that_breaks_after_sigterm_leaves_the_listener_to_the_successor(rig, tmp_path):
     made, new = upgraded(rig, tmp_path)
     made.broker.stop()
     made.later(200)
-    new.handover.peers[0].conn.close("broken")
+    new.hot_restart.peers[0].conn.close("broken")
     made.later(200)
     assert made.broker.front.held and made.broker.leaving
 
@@ -233,13 +233,13 @@
 def test_without_a_successor_the_path_is_taken_away_at_the_end(rig, tmp_path):
     made = rig(1, str(tmp_path / "s"))
     assert os.stat(tmp_path / "s").st_mode & 0o777 == 0o600
-    made.broker.handover.close()
+    made.broker.hot_restart.close()
     assert not os.listdir(tmp_path)
 
 
 @pytest.mark.parametrize("trouble", ["stale", "silent", "garbage", "half", "list"])
 def test_a_process_before_that_is_of_no_use_costs_no_service(rig, tmp_path, trouble, monkeypatch, caplog):
-    monkeypatch.setattr(handover, "HELLO_S", 0.1)
+    monkeypatch.setattr(hot_restart, "HELLO_S", 0.1)
     path = str(tmp_path / "s")
     before = socket.socket(socket.AF_UNIX)
     before.bind(path)
@@ -262,8 +262,8 @@
 
         monkeypatch.setattr(socket, "recv_fds", answer)
     made = rig(1, path)
-    assert made.broker.ready() and made.broker.handover.listener is not None
-    assert sum("handover" in record.message for record in caplog.records) == (trouble != "stale")
+    assert made.broker.ready() and made.broker.hot_restart.listener is not None
+    assert sum("hot restart" in record.message for record in caplog.records) == (trouble != "stale")
     made.begun()
     for sock in filter(None, [before, link, None if trouble == "stale" else peer]):
         sock.close()
@@ -271,24 +271,24 @@
 
 def test_a_path_too_long_for_a_socket_costs_one_line(rig, tmp_path, caplog):
     made = rig(1, str(tmp_path / ("d" * 120) / "s"))
-    assert made.broker.ready() and len([r for r in caplog.records if "handover" in r.message]) <= 2
+    assert made.broker.ready() and len([r for r in caplog.records if "hot restart" in r.message]) <= 2
     made.begun()
-    assert handover.socket_path({}, ("127.0.0.1", 1)) is None
+    assert hot_restart.socket_path({}, ("127.0.0.1", 1)) is None
 
 
 @pytest.mark.parametrize("line", [b"{]\n", b"[]\n", b'{"use":[1]}\n', b'{"ban":3}\n', b'{"use":["x",{},1]}\n'])
 def test_a_peer_that_talks_nonsense_is_left(rig, tmp_path, line):
     made, new = upgraded(rig, tmp_path)
-    new.handover.peers[0].conn.sock.send(line)
-    made.until(lambda: not made.broker.handover.peers)
+    new.hot_restart.peers[0].conn.sock.send(line)
+    made.until(lambda: not made.broker.hot_restart.peers)
     made.until(lambda: not made.broker.front.held)
 
 
 def test_a_second_upgrade_finds_the_newest_process(rig, tmp_path):
     made, new = upgraded(rig, tmp_path)
     third = made.successor()
-    assert third.handover.peers and any(peer.successor for peer in new.handover.peers)
-    assert not any(peer.successor and not peer.ready for peer in made.broker.handover.peers)
+    assert third.hot_restart.peers and any(peer.successor for peer in new.hot_restart.peers)
+    assert not any(peer.successor and not peer.ready for peer in made.broker.hot_restart.peers)
     third.route.ban("s-0")
     made.until(lambda: made.broker.route.find("s-0") is None)  # by way of the second
 
@@ -325,7 +325,7 @@
 
     socket.recv_fds = answer
     try:
-        found = handover.take_over(path, clock)
+        found = hot_restart.take_over(path, clock)
     finally:
         socket.recv_fds = real
         loop.close()
@@ -379,7 +379,7 @@
 def test_a_path_that_can_not_be_laid_over_leaves_nothing_behind(rig, tmp_path):
     (tmp_path / "s" / "in").mkdir(parents=True)  # a folder stands where the socket would
     made = rig(1, str(tmp_path / "s"))
-    assert made.broker.ready() and made.broker.handover.listener is None and os.listdir(tmp_path) == ["s"]
+    assert made.broker.ready() and made.broker.hot_restart.listener is None and os.listdir(tmp_path) == ["s"]
 
 
 def test_where_unix_sockets_are_refused_a_broker_serves_and_says_once_that_upgrades_are_off(
@@ -391,10 +391,10 @@
             raise OSError(errno.EAFNOSUPPORT, os.strerror(errno.EAFNOSUPPORT))
         return made(family, *args, **more)
 
-    monkeypatch.setattr(handover.socket, "socket", refused)
+    monkeypatch.setattr(hot_restart.socket, "socket", refused)
     rig = rig(1, str(tmp_path / "s"))
     client, rid, engine = rig.begun()
     engine.sock.send(f"{rid} HIT count=1 6\r\na\t1\t2\n\r\n".encode())
     assert b"a\t1\t2\n" in rig.answer(client)
-    assert [record.getMessage().startswith("handover: no upgrade without a break") for record in caplog.records
-            if "handover" in record.getMessage()] == [True]
+    assert [record.getMessage().startswith("hot restart: no upgrade without a break") for record in caplog.records
+            if "hot restart" in record.getMessage()] == [True]
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -16,9 +16,9 @@
 from umberusher.config import Config, ConfigError
 from umberusher.deadlines.timeline import Timeline
 from umberusher.decide import Gateway
-from umberusher.handover import Handover, Side, Taken, Use, take_over
-from umberusher.net.loop import Loop
 from umberusher.discovery import Discovery
+from umberusher.hot_restart import HotRestart, Side, Taken, Use, take_over
+from umberusher.net.loop import Loop
 from umberusher.protocol.board import document
 from umberusher.stages.admit import Admit
 from umberusher.stages.book import Book
@@ -91,12 +91,12 @@
             self._join_gate(self.gate)
         self.discovery = Discovery(self.loop, config.board, lambda: self.route.rev, self.route.take)
         self.door = Door(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.ban, self.route.unban))
-        self.handover = Handover(self.loop, path, Side(
+        self.hot_restart = HotRestart(self.loop, path, Side(
             hello=self._hello, listener=lambda: self.front.listener and self.front.listener.sock, use=self._use,
             known=self._known, news=self.route.take, ban=self._ban, clients=lambda: self.front.clients,
             come=self.front.come, hold=self._hold, teams=lambda: self.gate.later() if self.gate else {},
             teams_told=lambda state: self.gate.take_over(state) if self.gate else None))
-        self.route.on_ban, self.route.on_news = self.handover.tell_ban, self.handover.tell_news
+        self.route.on_ban, self.route.on_news = self.hot_restart.tell_ban, self.hot_restart.tell_news
         self.carry: dict[type, Callable[..., None]] = {
             api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self.book.refuse,
             api.Fail: self.book.fail, api.Probe: lambda a: self.send.probe(a.engine),
@@ -124,7 +124,7 @@
             return
         if self.good():
             log.info("ready after %.1f s with %d engines%s", passed, len(self.route.members),
-                     "" if self.discovery.heard else f": the notice board at {self.discovery.address} has said nothing yet")
+                     "" if self.discovery.heard else f": the notice board at {self.discovery.address} says nothing")
             self.told_start = "ready"
         elif passed > FRESH_S and not self.told_start:
             log.warning("not ready after %.1f s: no engine is listed", passed)
@@ -205,15 +205,15 @@
             self.route.take(notice)
         if self.config.admin:
             self.door.listen(self.config.admin)
-        taken = take_over(self.handover.path) if self.handover.path else None
+        taken = take_over(self.hot_restart.path) if self.hot_restart.path else None
         if isinstance(taken, Taken):
             self._follow(taken)
         else:
             if taken:
-                log.warning("handover: started without the process before: %s", taken)
+                log.warning("hot restart: started without the process before: %s", taken)
             self.front.listen(self.config.listen)
             self.serving = True
-            self.handover.listen()
+            self.hot_restart.listen()
         if self.gate:
             for port in self.gate.whole.ports:
                 self.front.listen_more((self.config.listen[0], port))
@@ -222,7 +222,7 @@
 
     def _follow(self, taken: Taken) -> None:
         """Take what the process before has given; it goes on accepting until this one can."""
-        log.info("handover: takes over from the process before")
+        log.info("hot restart: takes over from the process before")
         for notice in taken.known:
             self.route.take(notice)
         for engine in [*taken.seen, *taken.banned]:
@@ -234,15 +234,15 @@
         if self.gate and taken.teams:
             self.gate.take_over(taken.teams)
         self.front.adopt(taken.listener)
-        self.handover.join(taken)
+        self.hot_restart.join(taken)
 
     def _come_in(self) -> None:
         """Accept once the list is as new as the board's: what was handed over may be older than its last word."""
         if self.good():
             self.serving = True
             self.front.hold(False)
-            self.handover.say_ready()
-            log.info("handover: accepts from now on")
+            self.hot_restart.say_ready()
+            log.info("hot restart: accepts from now on")
 
     # -- For the peers of an upgrade
 
@@ -271,12 +271,12 @@
         if held or self.stopping_at is None:
             self.front.hold(held)
             if not held:
-                self.handover.listen()
+                self.hot_restart.listen()
 
     def _share(self) -> None:
         """Keep the joint limits: what the other processes hold is not there for this one."""
-        self.handover.tell_use()
-        others = self.handover.others()
+        self.hot_restart.tell_use()
+        others = self.hot_restart.others()
         self.front.elsewhere, self.send.elsewhere = others.clients, others.engines
         part = (self.memory_mb() + others.memory_mb) / self.config.memory_mb
         self.admit.tight = self._tight(part, len(self.book.tickets))
@@ -331,8 +331,8 @@
         if not self.told:
             self.told = True
             log.info("told to end: %d calls are open, a successor %s", self.book.in_flight,
-                     "accepts" if self.handover.handed_over else "is not there")
-        self.leaving = self.leaving or self.handover.handed_over
+                     "accepts" if self.hot_restart.handed_over else "is not there")
+        self.leaving = self.leaving or self.hot_restart.handed_over
         if self.leaving:
             return self._leave(passed - min(longest, LEAVE_S))
         if passed > LINGER_S:
@@ -349,9 +349,9 @@
         if beyond > LEAVE_OPEN_S:
             self.admit.tight = True
             self.admit.end([ticket for ticket in self.book.tickets.values() if ticket.open])
-        if not self.handover.pass_clients():
+        if not self.hot_restart.pass_clients():
             self.front.ebb()
-        done = self.front.idle and not self.book.in_flight and self.handover.idle
+        done = self.front.idle and not self.book.in_flight and self.hot_restart.idle
         return done or beyond > LEAVE_LAST_S
 
     def _tight(self, part: float, count: int) -> bool:
@@ -379,7 +379,7 @@
         """Give all descriptors back."""
         self.front.close()
         self.door.close()
-        self.handover.close()
+        self.hot_restart.close()
         self.discovery.close()
         self.send.close()
         self.loop.close()
--- a/umberusher/handover.py
+++ b/umberusher/hot_restart.py
@@ -1,4 +1,4 @@
-"""Handover: an old process and its successor act as one broker, linked by a Unix socket in ``$TMPDIR``.
+"""HotRestart: an old process and its successor act as one broker, linked by a Unix socket in ``$TMPDIR``.
 
 The old one sends one byte that carries the clients' listener and one end of a channel, then ``hello``; after that each
 side sends a JSON line a message: ``ready`` (the successor accepts from now on), ``known`` (a list newer than the last),
@@ -133,7 +133,7 @@
 class Peer:
     """The link to another process of this broker."""
 
-    owner: Handover
+    owner: HotRestart
     conn: Connection
     successor: bool
     ready: bool = False
@@ -187,7 +187,7 @@
             except (BlockingIOError, InterruptedError):
                 return
             except (OSError, ValueError, KeyError, TypeError, IndexError) as error:
-                log.warning("handover: a connection was not taken: %s %s", type(error).__name__, error)
+                log.warning("hot restart: a connection was not taken: %s %s", type(error).__name__, error)
                 for fd in fds:
                     os.close(fd)
 
@@ -248,14 +248,14 @@
             self.owner.side.teams_told(message["teams"])
         if message.get("ready") is True and self.successor and not self.ready:
             self.ready = True
-            log.info("handover: the successor accepts from now on")
+            log.info("hot restart: the successor accepts from now on")
             teams = self.owner.side.teams()
             if teams:  # this process went on taking since the greeting
                 self.tell(teams=teams)
             self.owner.replaced()
 
     def _closed(self, why: str) -> None:
-        log.info("handover: link closed: %s", why)
+        log.info("hot restart: link closed: %s", why)
         if not self.successor:
             self._come()
             for client in self.clients.values():
@@ -267,7 +267,7 @@
         self.owner.left(self)
 
 
-class Handover:
+class HotRestart:
     """All links of this process, and the socket that a successor finds."""
 
     def __init__(self, loop: Loop, path: str | None, side: Side) -> None:
@@ -294,7 +294,7 @@
                 sock.close()
             with contextlib.suppress(OSError):
                 os.unlink(made)
-            log.warning("handover: no upgrade without a break, %s: %s", self.path, error)
+            log.warning("hot restart: no upgrade without a break, %s: %s", self.path, error)
             return
         finally:
             os.umask(mask)
@@ -312,10 +312,10 @@
             with theirs:
                 socket.send_fds(link, [b"L"], [listener.fileno(), theirs.fileno()])
         except OSError as error:
-            log.warning("handover: %s", error)
+            log.warning("hot restart: %s", error)
             link.close()
             return
-        log.info("handover: a successor has come")
+        log.info("hot restart: a successor has come")
         self._join(link, ours, successor=True).tell(hello=self.side.hello())
 
     def _join(self, link: socket.socket, channel: socket.socket | None, successor: bool, rest: bytes = b"") -> Peer:
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -281,7 +281,7 @@
             self._count(broker)
             broker.front.close()
             broker.door.close()
-            broker.handover.close()
+            broker.hot_restart.close()
             broker.discovery.close()
             broker.send.close()
         for child in self.children:
--- a/umberusher/stages/gate.py
+++ b/umberusher/stages/gate.py
@@ -134,7 +134,7 @@
             else:
                 self.teams.take_over(self.now_ms(), state)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            log.warning("handover: the teams' state can't be read: %s %s", type(error).__name__, error)
+            log.warning("hot restart: the teams' state can't be read: %s %s", type(error).__name__, error)
 
     # -- Figures
 
