Rename the door to admin, and what cold engines are credited with to slow start

Door is Admin, Broker.door is Broker.admin, the log says 'admin: ...'; cold_credit, _cold_room and the constants of the cold budget are start_credit, _slow_start_room, START_*. Nothing on the wire or in the settings; no behaviour changes.

--- a/tests/test_door.py
+++ b/tests/test_admin.py
@@ -1,4 +1,4 @@
-"""The operators' door on loopback sockets: its calls, the figures against what peers saw, and bans."""
+"""The admin listener on loopback sockets: its calls, the figures against what peers saw, and bans."""
 
 from __future__ import annotations
 
@@ -18,12 +18,12 @@
 from umberusher.stages import route
 
 
-def open_door(rig: Rig) -> None:
-    rig.broker.door.listen(("127.0.0.1", 0))
+def open_admin(rig: Rig) -> None:
+    rig.broker.admin.listen(("127.0.0.1", 0))
 
 
 def knock(rig: Rig, data: bytes = b""):
-    sock = socket.create_connection(rig.broker.door.listener.sock.getsockname())
+    sock = socket.create_connection(rig.broker.admin.listener.sock.getsockname())
     sock.send(data)
     return rig.keep(Peer(sock))
 
@@ -52,7 +52,7 @@
     ("GET", "/ops/stats", "X: " + "y" * 9000 + "\r\n", 431), ("G\0T", "/ops/stats", "", 400)])
 def test_the_door_answers_its_calls_only(rig, method, path, more, status):
     rig = rig()
-    open_door(rig)
+    open_admin(rig)
     if status is None:
         caller = knock(rig, f"{method} {path} HTTP/1.1\r\nHost: x\r\n{more}\r\n".encode() + b"z" * 5000)
         rig.expect(caller, b"HTTP/1.1 413 ")
@@ -63,7 +63,7 @@
 
 def test_a_broker_without_a_list_or_about_to_end_is_not_ready(rig):
     rig = rig(0)
-    open_door(rig)
+    open_admin(rig)
     assert call(rig, "GET", "/ops/readiness")[0] == 503
     rig.news(("s-9", "board", "SERVING"))
     assert call(rig, "GET", "/ops/readiness")[0] == 200
@@ -73,17 +73,17 @@
 
 def test_silent_and_half_callers_never_take_a_good_calls_place(rig):
     rig = rig()
-    open_door(rig)
+    open_admin(rig)
     for number in range(3 * admin.CALLERS_MOST):
         knock(rig, b"GET /ops/st" if number % 2 else b"")
     slow = knock(rig, b"GET /ops/readiness HTTP/1.1\r\n")
-    rig.until(lambda: any(each.spoke for each in rig.broker.door.callers))
+    rig.until(lambda: any(each.spoke for each in rig.broker.admin.callers))
     assert call(rig, "GET", "/ops/readiness")[0] == 200
     slow.sock.send(b"Host: x\r\n\r\n")
     rig.expect(slow, b"HTTP/1.1 200 ")
-    assert len(rig.broker.door.callers) <= admin.CALLERS_MOST
+    assert len(rig.broker.admin.callers) <= admin.CALLERS_MOST
     rig.later(admin.CALLER_MS + 200)
-    assert not rig.broker.door.callers
+    assert not rig.broker.admin.callers
 
 
 def test_a_hurried_descriptor_goes_before_a_flood():
@@ -113,7 +113,7 @@
 
 def test_the_figures_are_what_peers_saw(rig):
     rig = rig()
-    open_door(rig)
+    open_admin(rig)
     assert set(stats(rig).values()) == {0.0, 1.0}
     assert stats(rig)["svc_engines_known"] == 1 and stats(rig)["svc_served_totallookup"] == 0
     client = rig.client()
@@ -155,7 +155,7 @@
 
 def test_a_banned_engine_drains_whatever_the_board_tells(rig):
     rig = rig(2)
-    open_door(rig)
+    open_admin(rig)
     assert call(rig, "PUT", "/ops/engines/down/s-0")[0] == call(rig, "PUT", "/ops/engines/down/s-0")[0] == 200
     engine = rig.broker.gateway.engines["s-0"]
     for entries, reset in (([("s-0", "s-0", "SERVING")], False), ([("s-0", "s-0", "DELETED")], False),
@@ -214,11 +214,11 @@
 
 def test_what_comes_after_the_answer_is_dropped(rig):
     rig = rig()
-    open_door(rig)
+    open_admin(rig)
     caller = knock(rig, b"GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
     rig.expect(caller, b"ready")
-    kept, = rig.broker.door.callers
+    kept, = rig.broker.admin.callers
     kept.server.feed = None  # would fail if it were given anything more
     caller.sock.send(b"x" * 4096)
     rig.later(100)
-    assert kept in rig.broker.door.callers and not len(kept.conn.inbound)
+    assert kept in rig.broker.admin.callers and not len(kept.conn.inbound)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -420,10 +420,10 @@
 def test_no_socket_holds_small_writes_back(rig):
     rig = rig()
     client, rid, engine = rig.begun()
-    rig.broker.door.listen(("127.0.0.1", 0))
-    door = rig.keep(Peer(socket.create_connection(rig.broker.door.listener.sock.getsockname())))
-    rig.until(lambda: rig.broker.door.callers)
-    conns = [ours(rig).conn, rig.broker.discovery.conn, next(iter(rig.broker.door.callers)).conn,
+    rig.broker.admin.listen(("127.0.0.1", 0))
+    door = rig.keep(Peer(socket.create_connection(rig.broker.admin.listener.sock.getsockname())))
+    rig.until(lambda: rig.broker.admin.callers)
+    conns = [ours(rig).conn, rig.broker.discovery.conn, next(iter(rig.broker.admin.callers)).conn,
              *(link.conn for links in rig.broker.send.links.values() for link in links)]
     assert len(conns) == 4
     assert all(each.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) for each in conns)
--- a/umberusher/admin.py
+++ b/umberusher/admin.py
@@ -1,4 +1,4 @@
-"""The operators' door: a second listener with few callers at a time, one call on each connection."""
+"""The admin listener: a second listener with few callers at a time, one call on each connection."""
 
 from __future__ import annotations
 
@@ -34,9 +34,9 @@
 class Caller:
     """One connection with its one call."""
 
-    def __init__(self, door: Door, conn: Connection) -> None:
-        self.door, self.conn, self.server = door, conn, OpsServer()
-        self.began_ms = self.used_ms = door.now_ms()
+    def __init__(self, admin: Admin, conn: Connection) -> None:
+        self.admin, self.conn, self.server = admin, conn, OpsServer()
+        self.began_ms = self.used_ms = admin.now_ms()
         self.spoke = self.answered = False
         conn.on_data, conn.on_closed, conn.on_gone = self._data, self._closed, self._gone
 
@@ -45,20 +45,20 @@
             self._gone()
 
     def _gone(self) -> None:
-        self.door.callers.pop(self, None)
+        self.admin.callers.pop(self, None)
 
     def _data(self) -> None:
-        self.used_ms, self.spoke = self.door.now_ms(), True
+        self.used_ms, self.spoke = self.admin.now_ms(), True
         found = self.server.feed(self.conn.inbound.take(len(self.conn.inbound)))
         if found is None:
             return
         self.answered = True
-        status, text, more = self.door.carry_out(found)
+        status, text, more = self.admin.carry_out(found)
         self.conn.send(Raw(self.server.answer(status, text.encode(), **more)))
         self.conn.end("answered", CALLER_MS)
 
 
-class Door:
+class Admin:
     """The listener and its callers."""
 
     def __init__(self, loop: Loop, now_ms: Callable[[], float], desk: Desk) -> None:
@@ -109,7 +109,7 @@
             return 200, self.desk.stats(), {"kind": STATS_KIND}
         *_, way, name = found.path
         known = self.desk.down(name) if way == "down" else self.desk.up(name)
-        log.info("door: engine %s %s: %s", name[:64], way, "yes" if known else "never listed")
+        log.info("admin: engine %s %s: %s", name[:64], way, "yes" if known else "never listed")
         return (200, f"{name} is {way}\n", {}) if known else (404, "no engine of this id was ever listed\n", {})
 
     def sweep(self) -> None:
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -12,7 +12,7 @@
 
 from umberusher import figures
 from umberusher import interface as api
-from umberusher.admin import Desk, Door
+from umberusher.admin import Admin, Desk
 from umberusher.config import Config, ConfigError
 from umberusher.deadlines.timeline import Timeline
 from umberusher.decide import Gateway
@@ -31,7 +31,7 @@
     from umberusher.stages.gate import Gate
 
 log = logging.getLogger(__name__)
-RESERVED = 48  # descriptors for listeners, the loop, the notice board, the door's callers and the standard streams
+RESERVED = 48  # descriptors for listeners, the loop, the notice board, admin callers and the standard streams
 ENGINE_PART = 0.3  # of the others, those kept for engines
 SWEEP_MS = 100.0
 TIGHT_PART, FULL_PART = 0.75, 0.92  # of the memory limit, above which little more is taken, and nothing
@@ -90,7 +90,7 @@
         if self.gate:
             self._join_gate(self.gate)
         self.discovery = Discovery(self.loop, config.board, lambda: self.route.rev, self.route.take)
-        self.door = Door(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.ban, self.route.unban))
+        self.admin = Admin(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.ban, self.route.unban))
         self.hot_restart = HotRestart(self.loop, path, Side(
             hello=self._hello, listener=lambda: self.front.listener and self.front.listener.sock, use=self._use,
             known=self._known, news=self.route.take, ban=self._ban, clients=lambda: self.front.clients,
@@ -204,7 +204,7 @@
         for notice in self.config.known:
             self.route.take(notice)
         if self.config.admin:
-            self.door.listen(self.config.admin)
+            self.admin.listen(self.config.admin)
         taken = take_over(self.hot_restart.path) if self.hot_restart.path else None
         if isinstance(taken, Taken):
             self._follow(taken)
@@ -315,7 +315,7 @@
             # Guards clients and engines whose bytes lie unread since this process was stopped: they were not silent.
             self.front.sweep()
             self.send.sweep()
-        self.door.sweep()
+        self.admin.sweep()
         self._tell_start()
         if self.gate:
             self.gate.sweep()
@@ -378,7 +378,7 @@
     def close(self) -> None:
         """Give all descriptors back."""
         self.front.close()
-        self.door.close()
+        self.admin.close()
         self.hot_restart.close()
         self.discovery.close()
         self.send.close()
--- a/umberusher/config.py
+++ b/umberusher/config.py
@@ -36,7 +36,7 @@
     connect_timeout_ms: float = 250.0
     keepalive_ms: float = 15_000.0
     max_open: int = 10_000
-    admin: tuple[str, int] | None = None  # the operators' door
+    admin: tuple[str, int] | None = None  # the admin listener
 
 
 def _number(source: Mapping[str, Any], name: str, default: float, least: float) -> float:
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -64,9 +64,9 @@
 FULL_MS = 150.0  # an engine that turned a query away is left alone for this long
 ERRORS = 3  # error answers in a row that eject, each to a query that another engine then served
 ERRED_MOST = 2  # error answers after which it is the query that is at fault
-# -- Cold start (share)
-COLD_PART, COLD_SAVED = 0.65, 0.5  # part of the budget; windows of it saved up: both in one window are the whole
-COLD_LARGEST = 0.9  # the largest query, of the whole budget
+# -- Slow start (share)
+START_PART, START_SAVED = 0.65, 0.5  # part of the budget; windows of it saved up: both in one window are the whole
+START_LARGEST = 0.9  # the largest query, of the whole budget
 CAPACITY = 0.85  # a core's output that counts as capacity
 # -- Rhythm
 TICK_MS = 20.0  # how often held queries are tried again at the least; no timer runs where none is held
@@ -89,8 +89,8 @@
         self.threads = self.others = self.slow = 0.0
         self.warmth = 1.0  # least share of its capacity that the rules let it have by now
         self.count = self.uncredited = self.fails = self.errors = 0
-        self.shut_until = self.probed_at = self.heard_at = -math.inf
-        self.cold_credit, self.cold_at = 0.0, math.inf  # calls to it while it is cold; when they were last reckoned
+        self.shut_until = self.probed_at = self.heard_at = self.credited_at = -math.inf
+        self.start_credit = 0.0  # calls that it may be sent while it is cold
         self.ticket: _Request | None = None
         self.loads: Counter[int | None] = Counter()  # attempts of loads by the group they hold
 
@@ -225,7 +225,7 @@
             engine = self.engines.get(entry.engine)
             if engine is None:
                 engine = self.engines[entry.engine] = _Engine(entry, self.floor)
-                engine.cold_at = self.now
+                engine.credited_at = self.now
                 if self.random.random() * count < self._wide():
                     engine.near, engine.odds = True, start
             elif entry.started_ms and entry.started_ms != engine.born:
@@ -233,8 +233,8 @@
                 engine.fails = engine.errors = engine.uncredited = 0
                 engine.mute = engine.reported = False
                 engine.shut_until = engine.probed_at = -math.inf  # asked next, so that it is soon known
-                engine.others = engine.slow = engine.cold_credit = 0.0
-                engine.cold_at = self.now
+                engine.others = engine.slow = engine.start_credit = 0.0
+                engine.credited_at = self.now
             engine.zone, engine.kind, engine.cell = entry.zone, entry.kind, entry.cell
             engine.cores = self.cores.get(entry.kind or "", 1.0)
             engine.up = entry.state is EngineState.UP
@@ -402,7 +402,7 @@
         return (None not in (engine.born, rules.cold_from, rules.warm_within_ms, rules.tip_multiple, rules.fall_ms)
                 and self.now - engine.born <= rules.warm_within_ms + rules.fall_ms)
 
-    def _cold_room(self, engine: _Engine, request: _Request, going: bool) -> bool:
+    def _slow_start_room(self, engine: _Engine, request: _Request, going: bool) -> bool:
         """Whether an engine, if it is cold, may be sent this query now; not ``going``, whether that is to be tried.
 
         The gateways with it in scope share its budget of calls. What is short of a call is staked on a draw."""
@@ -410,15 +410,15 @@
             return True
         rules = self.rules
         window = rules.tip_multiple * CAPACITY * engine.cores * self._warmth(engine) * rules.fall_ms
-        share = COLD_PART * window / self.mean_work * len(self.up) / (len(self.near) * self.gateways)
-        gained = share * (self.now - engine.cold_at) / (rules.fall_ms or 1.0)
-        credit = min(engine.cold_credit + gained, COLD_SAVED * share)
+        share = START_PART * window / self.mean_work * len(self.up) / (len(self.near) * self.gateways)
+        gained = share * (self.now - engine.credited_at) / (rules.fall_ms or 1.0)
+        credit = min(engine.start_credit + gained, START_SAVED * share)
         cost = (1 + self._work(request) / self.mean_work) / 2  # it counts as a call, and by its work
-        staked = cost > COLD_SAVED * share  # it could never be saved up
-        if not going or self._work(request) > COLD_LARGEST * window:
+        staked = cost > START_SAVED * share  # it could never be saved up
+        if not going or self._work(request) > START_LARGEST * window:
             return not going and (staked or credit > cost)
         won = credit > cost * (self.random.random() if staked else 1.0)
-        engine.cold_at, engine.cold_credit = self.now, max(credit - cost, 0.0) if won or staked else credit
+        engine.credited_at, engine.start_credit = self.now, max(credit - cost, 0.0) if won or staked else credit
         engine.ticket = request if won else engine.ticket
         return won
 
@@ -502,7 +502,7 @@
             best = min(drawn, key=lambda e: (self._load(e) + request.cls.threads / e.cores, chance()))
             if self._ask(request, best) or self._load(best) >= self._room(request) and not self._own_room(request):
                 return None
-            if self._cold_room(best, request, True):
+            if self._slow_start_room(best, request, True):
                 return best
             drawn.remove(best)
         return None
@@ -528,7 +528,7 @@
         if strict and (engine is request.avoid or engine.loads[request.group] and (
                 request.cls.waits_for_load or request.cls.holds_group)):
             return False
-        return self._may_use(request, engine) and self._cold_room(engine, request, False)
+        return self._may_use(request, engine) and self._slow_start_room(engine, request, False)
 
     def _two(self, request: _Request) -> list[_Engine]:  # random, for an empty draw
         few = not (request.doubt or request.cls.zones or request.cls.kinds)
--- a/umberusher/protocol/ops.py
+++ b/umberusher/protocol/ops.py
@@ -1,4 +1,4 @@
-"""The door's codec: one call over HTTP/1.1 on each connection, read and answered with h11's server side."""
+"""The admin listener's codec: one call over HTTP/1.1 on each connection, read and answered with h11's server side."""
 
 from __future__ import annotations
 
--- a/umberusher/replay/stage.py
+++ b/umberusher/replay/stage.py
@@ -135,7 +135,7 @@
         self.notes: Counter[str] = Counter()
         self.broker_log: Counter[str] = Counter()  # wall clock: what brokers warned of, by kind of line
         self.stories: list[dict[str, Any]] = []
-        self.door: Counter[str] = Counter()  # the brokers' own account, summed; step clock
+        self.admin: Counter[str] = Counter()  # the brokers' own account, summed; step clock
         self.interrupted = False
         self._requests = enumerate(plan.requests())
         self._next = next(self._requests, None)
@@ -280,7 +280,7 @@
         for broker in self.brokers:
             self._count(broker)
             broker.front.close()
-            broker.door.close()
+            broker.admin.close()
             broker.hot_restart.close()
             broker.discovery.close()
             broker.send.close()
@@ -316,10 +316,10 @@
         account = broker.book.account
         for name in ("late", "expired", "left", "cancels"):
             for key, value in getattr(account, name).items():
-                self.door[f"{name} {key}"] += value
-        self.door["wasted ms"] += round(account.wasted_ms)
+                self.admin[f"{name} {key}"] += value
+        self.admin["wasted ms"] += round(account.wasted_ms)
         for key, value in broker.send.expired.items():
-            self.door[f"unsent {key}"] += value
+            self.admin[f"unsent {key}"] += value
 
     def _arm(self) -> None:
         if self._next is not None:
@@ -517,7 +517,7 @@
             "begun_late": checker.counts["begun late"], "work_for_nobody": checker.counts["work for nobody"],
             "wasted_ms": round(sum(node.wasted_ms for node in self.nodes.values()), 1),
             "worked_ms": round(sum(node.worked_ms for node in self.nodes.values()), 1),
-            "account": dict(sorted(self.door.items())),
+            "account": dict(sorted(self.admin.items())),
             "teams": {name: score.document() | {"came_back": self.told.get(name, [0, 0])}
                       for name, score in self.team_scores.items()},
             "broker_log": dict(self.broker_log.most_common(20)), "digest": checker.digest,
--- a/umberusher/stages/admit.py
+++ b/umberusher/stages/admit.py
@@ -19,7 +19,7 @@
 
 
 class Admit:
-    """The door to the decisions."""
+    """The way to the decisions."""
 
     def __init__(self, clock: Callable[[], float], book: Book, send: Send, post: Callable[[api.Event], None], most: int,
                  backoff_ms: float | None) -> None:
--- a/umberusher/stages/gate.py
+++ b/umberusher/stages/gate.py
@@ -19,7 +19,7 @@
 log = logging.getLogger(__name__)
 STATEMENT_MS = 10_000.0  # between two statements in the structured log
 RATION = (5.0, 0.1, 10_000.0)  # where the settings state none
-LABELS_MOST = 64  # teams with figures of their own at the door; the others are summed up
+LABELS_MOST = 64  # teams with figures of their own; the others are summed up
 
 
 class Gate:
