--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tests.rig import Peer
 from umberusher.interface import EngineState
 from umberusher.net import connection
 from umberusher.net.connection import State
@@ -183,3 +184,22 @@
     rig.later(4000)
     lines = [r.getMessage() for r in caplog.records if "ready" in r.getMessage()]
     assert len(lines) == 1 and lines[0].startswith(told)
+
+
+@pytest.mark.parametrize(("answers_ms", "ready_ms"), [(None, 3_100), (2_000, 2_400), (0, 200)])
+def test_a_start_with_1024_engines_is_ready_in_time_with_discovery_down_or_slow(rig, answers_ms, ready_ms):
+    rig = rig()
+    broker = rig.broker
+    broker.route.take(rig.notice(*[(f"e-{n}", "s-0", "SERVING") for n in range(1024)], reset=True))
+    broker.discovery.heard = False
+    begun, polls = rig.now, [rig.board]
+    while not broker.ready():
+        rig.later(100)
+        try:
+            polls.append(rig.keep(Peer(rig.listeners["board"].accept()[0])))  # it asks again over a new connection
+        except BlockingIOError:
+            pass
+        if answers_ms is not None and (rig.now - begun) * 1000 >= answers_ms and b"GET" in polls[-1].read():
+            polls[-1].sock.send(listed(rig))
+            rig.step(0)
+    assert (rig.now - begun) * 1000 <= ready_ms and len(broker.gateway.up) == 1024
