--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 import struct
 
@@ -455,6 +456,37 @@
     loop.close()
 
 
+def test_a_listener_without_a_descriptor_rests_makes_room_and_goes_on():
+    now = [0.0]
+    loop, taken, short = Loop(lambda: now[0]), [], []
+
+    class Scarce(socket.socket):
+        left = 2
+
+        def accept(self):
+            if self.left:
+                self.left -= 1
+                raise OSError(errno.EMFILE, "too many")
+            return super().accept()
+
+    sock = Scarce()
+    sock.bind(("127.0.0.1", 0))
+    sock.listen()
+    listener = Listener(loop, sock, 4, taken.append, lambda: short.append(now[0]))
+    listener.hold(False)
+    peer = socket.create_connection(sock.getsockname())
+    for _ in range(100):  # no time passes: it is asked once
+        loop.step(0)
+    assert short == [0.0] and not taken
+    for _ in range(10):
+        now[0] += 0.021
+        loop.step(0)
+        loop.step(0)
+    assert len(short) == 2 and len(taken) == 1
+    for each in (listener, peer, *taken, loop):
+        each.close()
+
+
 def test_the_state_of_a_connection_that_ends_is_told_once():
     loop = Loop()
     here, there = socket.socketpair()
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -44,9 +44,10 @@
 
 
 def test_idle_clients_fill_the_descriptors_and_discovery_and_engines_are_reached_all_the_same(tmp_path):
-    listen, board = free(), free()
+    listen, board, admin = free(), free(), free()
     engine = socket.create_server(("127.0.0.1", 0))
-    conf = copy.deepcopy(CONF) | {"listen": f"{listen[0]}:{listen[1]}", "board": f"{board[0]}:{board[1]}"}
+    conf = copy.deepcopy(CONF) | {"listen": f"{listen[0]}:{listen[1]}", "board": f"{board[0]}:{board[1]}",
+                                   "admin": f"{admin[0]}:{admin[1]}"}
     conf["limits"]["sockets"] = SOCKETS
     entry = {"instanceId": "s-0", "hostPort": f"127.0.0.1:{engine.getsockname()[1]}", "zone": "a", "cell": 1,
              "machineType": "std-8", "lifecycle": "SERVING", "weight": 1, "startedAtMs": 0}
@@ -64,6 +65,9 @@
             idle = [stack.enter_context(socket.create_connection(listen, 5)) for _ in range(3 * SOCKETS)]
             time.sleep(0.2)
             assert len(os.listdir(f"/proc/{process.pid}/fd")) <= SOCKETS
+            caller = stack.enter_context(socket.create_connection(admin, 5))
+            caller.sendall(b"GET /ops/stats HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert heard(caller, b"engines_known", 5)
             watch = stack.enter_context(socket.create_server(board))
             watch.settimeout(5)
             asked = stack.enter_context(watch.accept()[0])
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import subprocess
 import sys
 from pathlib import Path
@@ -22,9 +23,7 @@
     ("test_it.py::test_red | it rains | 26\ntest_it.py::test_green | it rains | 26", 1, "1 failed, 1 xfailed"),
     ("test_it.py::test_gone | it rains | 26", 4, "there is no test test_it.py::test_gone"),
     ("test_gone.py::test_red | it rains | 26", 4, "there is no test test_gone.py::test_red"),
-    ("test_it.py::test_red | it rains", 4, "KNOWN-RED.txt:1: expected 'test | cause | issue'"),
-    ("test_it.py::test_red | it rains | 26\n" * 2, 4, "KNOWN-RED.txt:2: test_it.py::test_red is named twice"),
-    ("\n".join(f"test_it.py::test_{n} | it rains | 26" for n in range(4)), 4, "4 tests, 3 at the most")])
+    ("test_it.py::test_red | it rains", 4, "KNOWN-RED.txt:1: expected 'test | cause | issue'")])
 def test_the_file_passes_over_what_it_names_and_fails_where_it_is_stale(tmp_path, lines, code, told):
     (tmp_path / "test_it.py").write_text(TESTS)
     (tmp_path / "pytest.ini").write_text("[pytest]\n")
@@ -36,6 +35,16 @@
     assert (found.returncode, told in found.stdout + found.stderr) == (code, True), found.stdout + found.stderr
 
 
+@pytest.mark.parametrize(("lines", "told"), [
+    ("test_it.py::test_red | it rains |", "KNOWN-RED.txt:1: expected 'test | cause | issue'"),
+    ("test_it.py::test_red | it rains | 26\n" * 2, "KNOWN-RED.txt:2: test_it.py::test_red is named twice"),
+    ("\n".join(f"test_it.py::test_{n} | it rains | 26" for n in range(4)), "4 tests, 3 at the most")])
+def test_a_file_that_is_not_of_its_form_is_a_usage_error(tmp_path, lines, told):
+    (tmp_path / "KNOWN-RED.txt").write_text(lines)
+    with pytest.raises(pytest.UsageError, match=re.escape(told)):
+        known_red.read(tmp_path / "KNOWN-RED.txt")
+
+
 def test_the_checks_of_this_project_heed_the_file():
     assert conftest.pytest_collection_modifyitems is known_red.pytest_collection_modifyitems
     assert conftest.pytest_terminal_summary is known_red.pytest_terminal_summary
