Rename what the decisions hold to queued, and the ration's hook to retry budget

In decide.py: held, _hold and the parameter ration are queued, _queue and retry_budget; tests/test_held.py is tests/test_queued.py. The word ration stays where it is a contract's field. No behaviour changes.

--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -94,7 +94,7 @@
 
 def check_bounded(gateway):
     assert len(gateway.engines) <= 6
-    assert not gateway.requests and not gateway.attempts and not gateway.held
+    assert not gateway.requests and not gateway.attempts and not gateway.queued
     assert len(gateway.taken) <= 25 and len(gateway.extra) <= 25 and not gateway.lines
 
 
--- a/tests/test_held.py
+++ b/tests/test_queued.py
@@ -102,7 +102,7 @@
     bench.gateway.full, bench.gateway.gateways, bench.gateway.own_at = 0.5, 8, bench.now
     bench.arrive("load", 25_000, key="busy")
     late = bench.gateway.requests["r1"]
-    assert late.held
+    assert late.queued
     bench.gateway.full, late.late = 0.7, True  # between the limit and the room of short queries
     assert [send.request for send in only(bench.tick(), api.Send)] == ["r1"] * in_order
 
@@ -117,4 +117,4 @@
         _, actions = bench.arrive()
         for send in only(actions, api.Send):
             bench.finish(send, elapsed=50.0 if number % 4 else 900.0)
-    assert bench.gateway.held and bench.gateway.full > 2.0
+    assert bench.gateway.queued and bench.gateway.full > 2.0
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -70,9 +70,9 @@
     bench.arrive(tenant="small")
     bench.arrive(tenant="unknown")
     bench.arrive()
-    held = [request.worth for request in bench.gateway.held]
+    held = [request.worth for request in bench.gateway.queued]
     assert held.count(0.1) >= 25 and held == sorted(held, reverse=True)
-    assert {"r61", "r62", "r63"} <= {request.id for request in bench.gateway.held if request.worth == 1}
+    assert {"r61", "r62", "r63"} <= {request.id for request in bench.gateway.queued if request.worth == 1}
 
 
 def test_a_small_part_of_a_quota_is_still_a_part():
--- a/umberusher/decide.py
+++ b/umberusher/decide.py
@@ -27,18 +27,18 @@
 LOOKED_AT = 8  # engines looked at for an empty draw, at the most
 FLOOR_SETS = 0.4  # least odds are this over n: an engine is never forgotten
 SCOPE_USES, SCOPE_LEAST = 8.0, 4  # queries to each engine of the scope while an idle connection lasts; engines in it
-# -- Holding at the gateway (threads a core)
-FULL = 2.4  # load above which a query is held, at the start; engines lose output past 1 to 2 that run
+# -- Queueing at the gateway (threads a core)
+FULL = 2.4  # load above which a query is queued, at the start; engines lose output past 1 to 2 that run
 FULL_LEAST, FULL_MOST = 0.6, 3.2  # bounds of the learned limit
 FULL_DOWN = 0.012  # part of the limit that an attempt too slow for its aim takes; more starves the longer classes
-FULL_UP = 0.01  # what a timely attempt adds while queries are held: about one slow in four is borne
+FULL_UP = 0.01  # what a timely attempt adds while queries are queued: about one slow in four is borne
 PACE_MOST = 10.0  # times that step where a gateway has few queries to learn from; each of them says no more than that
 FULL_AIM = 0.5  # share of a query's aim that its attempt may take
 SHORT_PART = 1.6  # short queries, and those that keep order, for whose end a whole line waits, may go this much above
 LATE_FULL = 0.9  # the same for queries past their aim: they only fill what is idle
 OWN_PART = 0.4  # share of FULL over the gateways that this one may always use, whatever is reported
 SHORT = 0.5  # a query is short below this times the mean work of a query
-TRIES, ALL_TRIES = 4, 256  # held queries of a class tried in vain at a time; the same for all gateways
+TRIES, ALL_TRIES = 4, 256  # queued queries of a class tried in vain at a time; the same for all gateways
 # -- Time expected (log of ms)
 LEARN = 0.05  # weight of a new answer in the usual time of its class
 MIX_LEARN = 0.01  # weight of a new query in the mean work of a query
@@ -47,7 +47,7 @@
 SPEED_LEAST = 0.1  # an engine is never taken for slower than this share of the pool
 # -- Ending
 ANSWER_MS = 15.0  # final answers go out this long before the client's deadline, plus two ticks
-HOPE = 0.8  # a held query is given up when this share of its usual time no longer fits its aim
+HOPE = 0.8  # a queued query is given up when this share of its usual time no longer fits its aim
 SHARE_S = 1.0  # seconds of its quota that a tenant may have saved up: short bursts are no surge
 LATE_WORTH = 0.15  # least share of worth left after the aim for which a query is still kept
 # -- Abandoning (times the time expected)
@@ -69,7 +69,7 @@
 START_LARGEST = 0.9  # the largest query, of the whole budget
 CAPACITY = 0.85  # a core's output that counts as capacity
 # -- Rhythm
-TICK_MS = 20.0  # how often held queries are tried again at the least; no timer runs where none is held
+TICK_MS = 20.0  # how often queued queries are tried again at the least; no timer runs where none is queued
 TICK_GAPS = 0.35  # the same in mean gaps between this gateway's queries: little traffic, little haste
 TICK_MOST_MS, GAP_MOST_MS = 100.0, 1_000.0  # ... and at the most; a longer gap counts as this
 ASKED, ASK_MS = 2, 250.0  # engines asked for one costly query before it goes, at the most; how long each is waited for
@@ -109,7 +109,7 @@
         self.sent = self.redone = 0
         self.out: dict[int, _Attempt] = {}
         self.doubt: list[tuple[_Engine, float]] = []  # attempts that may have run: engine, send time
-        self.ended = self.streaming = self.late = self.held = False
+        self.ended = self.streaming = self.late = self.queued = False
         self.avoid: _Engine | None = None
         self.erred: list[_Engine] = []  # engines that answered with an error
         self.rank, self.terms = (False, 0.0), -1
@@ -135,8 +135,8 @@
 class Gateway:
     """The decisions of one gateway; instances share nothing."""
 
-    def __init__(self, settings: api.Settings, seed: int, ration: Callable[[str], bool] | None = None) -> None:
-        self.ration = ration  # whether a request's own part of the retry budget has one more
+    def __init__(self, settings: api.Settings, seed: int, retry_budget: Callable[[str], bool] | None = None) -> None:
+        self.retry_budget = retry_budget  # whether a request's own part of the retry budget has one more
         self.settings, self.limits, self.rules = settings, settings.limits, settings.rules
         self.random = random.Random(seed)
         self.gateways = max(settings.gateways or 1, 1)
@@ -148,7 +148,7 @@
         self.engines: dict[str, _Engine] = {}
         self.requests: dict[str, _Request] = {}
         self.attempts: dict[tuple[str, int], tuple[_Request, _Attempt]] = {}
-        self.held: list[_Request] = []  # timely queries first, then most worth for the work
+        self.queued: list[_Request] = []  # timely queries first, then most worth for the work
         self.lines: dict[str, _Line] = {}
         self.shares = {  # by tenant: this gateway's part of its quota, what is left of that, and since when
             each.name: (each.quota_per_s / self.gateways, 0.0, 0.0) for each in settings.tenants if each.quota_per_s}
@@ -189,7 +189,7 @@
         while self.due and self.due[0][2].ended:
             heapq.heappop(self.due)
         wake = self.due[0][0] if self.due else math.inf
-        if self.held:
+        if self.queued:
             wake = min(wake, self.now + min(max(TICK_MS, TICK_GAPS * self.gap), TICK_MOST_MS))
         if wake < math.inf and not self.now + 1.0 < self.wake_at <= wake:  # clocks round
             self.wake_at = max(wake, self.now + 1.0)
@@ -290,7 +290,7 @@
         self.arrived_at = self.now
         self._widen()
         heapq.heappush(self.due, (self._next_look(request), self.count, request))
-        self._hold(request)
+        self._queue(request)
         self._dispatch()
         self._probe()
 
@@ -303,12 +303,12 @@
         self.shares[tenant] = quota, left - (left >= 1), self.now
         return 1.0 if left >= 1 else self.settings.over_share_worth
 
-    def _hold(self, request: _Request, front: bool = False) -> None:
-        if not request.held and not request.ended:
-            request.held = True
+    def _queue(self, request: _Request, front: bool = False) -> None:
+        if not request.queued and not request.ended:
+            request.queued = True
             request.rank = (request.late, -request.worth / max(self._work(request), 1.0))
             insort = bisect.insort_left if front else bisect.insort_right
-            insort(self.held, request, key=lambda item: item.rank)
+            insort(self.queued, request, key=lambda item: item.rank)
 
     def _client_left(self, event: api.ClientLeft) -> None:
         request = self.requests.get(event.request)
@@ -322,9 +322,9 @@
     def _end(self, request: _Request) -> None:
         """Drop a request that has had its answer; attempts still out stay booked on their engines."""
         request.ended = True
-        if self.requests.pop(request.id, None) and request.held:
-            request.held = False
-            self.held.remove(request)
+        if self.requests.pop(request.id, None) and request.queued:
+            request.queued = False
+            self.queued.remove(request)
         self._leave_line(request)
 
     def _leave_line(self, request: _Request) -> None:
@@ -356,7 +356,7 @@
             return False
         if self._waits_turn(request):
             return False
-        return not request.sent or self._extra_left() and (self.ration is None or self.ration(request.id))
+        return not request.sent or self._extra_left() and (self.retry_budget is None or self.retry_budget(request.id))
 
     def _waits_turn(self, request: _Request) -> bool:
         """Whether an earlier request of its key goes first, or the key rests."""
@@ -476,13 +476,13 @@
 
     def _dispatch(self) -> None:
         missed: Counter[str] = Counter()
-        for request in self.held.copy():
+        for request in self.queued.copy():
             if missed[request.cls.name] >= self.tries or self._waits_turn(request) or self.now < request.ask_until:
                 continue
             engine = self._choose(request)
             if engine is not None and self._send(request, engine):
-                self.held.remove(request)
-                request.held = False
+                self.queued.remove(request)
+                request.queued = False
             else:
                 missed[request.cls.name] += 1
 
@@ -622,7 +622,7 @@
             request.terms = priority
             self.actions.append(api.SetTerms(request.id, 0.0, priority))
 
-    # -- Looking over what is held and what runs
+    # -- Looking over what is queued and what runs
 
     def _last(self, request: _Request) -> float:  # when the final answer must go out
         return request.deadline - ANSWER_MS - 2 * self.settings.tick_ms - TICK_MS
@@ -635,7 +635,7 @@
     def _look_over(self) -> None:
         for key in [key for key, line in self.lines.items() if not line.turn and line.rest_until <= self.now]:
             del self.lines[key]
-        for request in [r for r in self.held if self.now >= self._next_look(r)]:
+        for request in [r for r in self.queued if self.now >= self._next_look(r)]:
             self._overdue(request)  # what is expected may have grown since its look was planned
         while self.due and self.due[0][0] <= self.now:
             _, count, request = heapq.heappop(self.due)
@@ -656,10 +656,10 @@
     def _past_aim(self, request: _Request) -> None:
         """A query that can't meet its aim: kept for what a late answer is worth, else ended."""
         request.late = True
-        if request.held:
-            self.held.remove(request)
-            request.held = False
-            self._hold(request)
+        if request.queued:
+            self.queued.remove(request)
+            request.queued = False
+            self._queue(request)
         if request.cls.late_worth < LATE_WORTH and not request.out:
             self._answer(request)
         elif request.out and self.limits.cancel:
@@ -737,7 +737,7 @@
         if (ending is not Ending.MOOT and request.sent < self.limits.max_attempts and self.now < request.deadline
                 and len(request.erred) < ERRED_MOST and not (request.cls.effect is Effect.UNSAFE and request.doubt)
                 and self._may_repeat(request, attempt.engine)):
-            self._hold(request, front=True)
+            self._queue(request, front=True)
         else:
             self._answer(request)
 
@@ -785,7 +785,7 @@
         pace = min(max(self.gap / TICK_MS, 1.0), PACE_MOST) if self.mean_load > self.full else 1.0
         if time > FULL_AIM * (self._aim(request) - request.at):
             self.full = max(self.full * (1 - FULL_DOWN * pace), FULL_LEAST)
-        elif self.held and not self.held[0].late:
+        elif self.queued and not self.queued[0].late:
             self.full = min(self.full + FULL_UP * pace, FULL_MOST)
         engine = attempt.engine
         engine.slow += SPEED_LEARN * (math.log(time / max(attempt.expected, 0.1)) - engine.slow)
@@ -831,7 +831,7 @@
         if engine is None:
             return
         self.prompt += PROMPT_LEARN * ((event.report is not None and event.elapsed_ms < ASK_MS) - self.prompt)
-        for request in self.held:
+        for request in self.queued:
             if request.asked and request.asked[-1] is engine:
                 request.ask_until = -math.inf
         if event.ending is Ending.TIMEOUT:
