--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -129,7 +129,7 @@
     client, granted = rig.client(), []
     rig.broker.gate.teams.ration.spare = 0.0  # nothing for anyone
     gateway = rig.broker.gateway
-    ration, gateway.ration = gateway.ration, lambda rid: granted.append(ration(rid)) or granted[-1]
+    ration, gateway.retry_budget = gateway.retry_budget, lambda rid: granted.append(ration(rid)) or granted[-1]
     rid = asked(rig, client, 1, "water")
     engine = rig.accept("s-0") if rig.broker.book.tickets[rid].attempt.engine == "s-0" else rig.accept(
         rig.broker.book.tickets[rid].attempt.engine)
