--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -316,4 +316,4 @@
 def test_a_module_without_a_ration_decides_as_before():
     from umberusher.decide import Gateway
     settings = api.Settings((api.QueryClass("lookup", 500.0, 2_500.0, 1.0, api.Effect.SAFE),))
-    assert Gateway(settings, 1).ration is None
+    assert Gateway(settings, 1).retry_budget is None
