--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -247,7 +247,7 @@
 def test_a_client_that_has_left_is_heard_before_its_request_is_sent_on(rig, word):
     """Its word lies with the kernel while one long round runs: the next attempt began all the same."""
     rig = rig(2)
-    client, other = rig.client(), rig.client()
+    client = rig.client()
     rid = rig.ask(client)
     first = rig.broker.book.tickets[rid].attempt
     rig.until(lambda: first.reach >= 3)
@@ -259,9 +259,6 @@
     rig.broker.book.ended(first, Ending.FULL)  # in the round in which no event has told of the client yet
     assert rid not in rig.broker.gateway.requests
     assert rig.broker.book.counts["attempt moot"] == 1 and not rig.broker.book.tickets
-    for name in ("s-0", "s-1"):
-        rig.listeners[name].setblocking(False)
-    other.sock.close()
 
 
 def test_a_client_that_has_left_is_heard_before_a_connection_that_came_up_late_is_used(rig):
