Force a burst of clients who leave while room opens

A hundred clients wait, all but one leave or take back at once, and in the same round the module may send again: one request goes out, that of the client who stayed.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,6 +10,7 @@
 
 from tests.rig import Peer
 from tests.test_codecs import execute
+from umberusher import interface as api
 from umberusher.interface import Ending
 from umberusher.net import connection
 from umberusher.net.connection import ENDING_MS, Raw, State
@@ -261,6 +262,31 @@
     assert rig.broker.book.counts["attempt moot"] == 1 and not rig.broker.book.tickets
 
 
+def test_of_a_burst_of_clients_who_leave_at_once_none_is_sent_for(rig):
+    """More than a round's 64 events: the room that opens in the first round is for those who are still there."""
+    rig = rig()
+    clients = [rig.client() for _ in range(100)]
+    choose = rig.broker.gateway._choose
+    rig.broker.gateway._choose = lambda request: None  # all of them wait
+    rids = [rig.ask(client) for client in clients]
+    rig.now += 0.3
+    for number, client in enumerate(clients[:-1]):
+        if number % 2:
+            client.sock.close()
+        else:
+            client.sock.send(interrupt(number + 1))
+    rig.broker.gateway._choose = choose
+    rig.broker.gateway._dispatch()
+    rig.broker.gateway._timer(api.TimerFired("tick"))
+    for action in rig.broker.gateway.actions:
+        if isinstance(action, api.Send):
+            rig.broker._send(action)
+    rig.later(100)
+    engine = rig.accept("s-0")
+    rig.expect(engine, rids[-1].encode())
+    assert engine.got.count(b"REQ") == 1
+
+
 def test_a_client_that_has_left_is_heard_before_a_connection_that_came_up_late_is_used(rig):
     rig = rig()
     client = rig.client()
