Play a fleet's bad moments with hollow brokers, engines and control machines

A hollow broker is the real discovery client, list and decisions, fed with made statements; engines are state only; control machines answer the real long polls over loopback. Workers divide the brokers, play the same seeded script on a step clock, and their counts are added up. Real serve processes are measured beside them on the wall clock. Scenes: start, ordinary changes, lumps, a zone lost, a region's start, control machines lost, regions apart, a change of primary, changes by the hundred, ids that come and go, entries named twice, a list of nothing.

--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -109,7 +109,15 @@
     "statement": ("contract_statement", "promised, used, refused and its worth in a period, from brokers' logs", (
         _CONTRACT, _o("logs", nargs="+", metavar="LOG"), _o("--json", metavar="OUT"), _o("--plot", metavar="OUT"))),
 }
+SCALE: dict[str, tuple[str, str, tuple[Option, ...]]] = {
+    "run": ("scale_run", "play a fleet's bad moments with hollow brokers, engines and control machines", (
+        _PLAN, _o("--seed", type=int, help="in place of the plan's"), _o("--workers", type=int, help="processes"),
+        _o("--name", metavar="NAME", help="of the result (the plan's file name)"),
+        _o("--no-real", action="store_true", help="leave out the real brokers on the wall clock"),
+        _o("--json", metavar="OUT"), _o("--plot", metavar="OUT", help="SVG"), _LOG)),
+}
 GROUPS = {"contract": ("teams and what each was promised", CONTRACT),
+          "scale": ("the size to plan with, played on one machine", SCALE),
           "trace": ("read, compile and replay published cluster traces", TRACE),
           "deadlines": ("what became of requests' time", DEADLINES)}
 
--- /dev/null
+++ b/umberusher/hollow/shared_parse.py
@@ -0,0 +1,55 @@
+"""One parse of identical answers for all hollow brokers of a process.
+
+Owns the memory of what was parsed. Some 260 brokers in a process hear the same bytes; parsing them each time would take
+most of a run. What a parse takes is measured on a real broker and told there. Each broker's own client still reads the
+bytes, and finds the end of the answer, by itself.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from umberusher import discovery
+from umberusher.protocol import board
+
+KEPT = 16  # answers; those under way at a time are fewer
+
+
+class _Json:
+    """In the place of the json module, for the codec alone."""
+
+    def __init__(self) -> None:
+        self.known: dict[bytes, object] = {}
+
+    def loads(self, data: bytes) -> object:
+        """The document; the same object for the same bytes."""
+        found = self.known.get(data)
+        if found is None:
+            if len(self.known) >= KEPT:
+                self.known.pop(next(iter(self.known)))
+            found = self.known[bytes(data)] = json.loads(data)
+        return found
+
+
+@contextmanager
+def shared_parse() -> Iterator[None]:
+    """While it lasts the codec parses each answer once."""
+    parse, made, real = board.notices, {}, (board.json, discovery.notices)
+
+    def notices(document: object, after: int) -> object:
+        """As the codec's; what it makes is not changed by anyone."""
+        held, found = made.get((id(document), after), (None, None))
+        if held is not document:
+            if len(made) >= 4 * KEPT:
+                made.pop(next(iter(made)))
+            found = parse(document, after)
+            made[id(document), after] = document, found  # held: the number can't be given out again
+        return found
+
+    board.json, discovery.notices = _Json(), notices
+    try:
+        yield
+    finally:
+        board.json, discovery.notices = real
