--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -113,7 +113,7 @@
     "run": ("scale_run", "play a fleet's bad moments with hollow brokers, engines and control machines", (
         _PLAN, _o("--seed", type=int, help="in place of the plan's"), _o("--workers", type=int, help="processes"),
         _o("--name", metavar="NAME", help="of the result (the plan's file name)"),
-        _o("--no-real", action="store_true", help="leave out the real brokers on the wall clock"),
+        _o("--only", choices=["hollow", "real"], help="the scenes on the step clock, or the real brokers"),
         _o("--json", metavar="OUT"), _o("--plot", metavar="OUT", help="SVG"), _LOG)),
 }
 GROUPS = {"contract": ("teams and what each was promised", CONTRACT),
--- a/umberusher/commands/scale_run.py
+++ b/umberusher/commands/scale_run.py
@@ -15,6 +15,7 @@
 from umberusher.scale.run import play
 
 EXIT_PARTIAL, EXIT_BROKEN = 3, 1
+NOTHING = {"scenes": {}, "seen": {}, "digest": "", "workers": 0, "not_run": [], "why": "", "run": {}}
 SHOWN = ("change in force at the last broker, largest", "control bytes of a broker, mean",
          "a control machine at its worst second, bytes", "connections an engine, largest over mean",
          "brokers with it in scope an engine, largest over mean", "statements served", "statements refused",
@@ -35,18 +36,23 @@
         if not 1 <= args.workers <= plans.SIZE["workers"][2]:
             raise UsageError(f"--workers: expected 1 to {plans.SIZE['workers'][2]}, got {args.workers}")
         plan.size["workers"] = args.workers
+    if args.only == "real" and not plan.real:
+        raise UsageError(f"{plan.name}: real is not set: there are no real brokers to play")
     name = f"scale-{args.name or Path(args.plan).stem}"
-    command = f"umberusher scale run {args.plan} --seed {plan.size['seed']:g} --workers {plan.size['workers']:g}"
+    command = f"umberusher scale run {args.plan} --seed {plan.size['seed']:g} --workers {plan.size['workers']:g}" + (
+        f" --only {args.only}" if args.only else "")
     before = signal.signal(signal.SIGTERM, signal.default_int_handler)  # told to end: as by Ctrl-C
 
     def done(scene: str, seen: Seen) -> None:
         log.info("scene played", scene=scene, brokers=seen.brokers, cpu_s=round(seen.cpu_s, 1),
                  memory_mb=round(seen.memory_mb), rules_broken=seen.broken.total())
 
-    found = play(plan, done)
+    if args.only == "real":
+        plan.scenes = []
+    found = play(plan, done) if plan.scenes else NOTHING
     seen: dict[str, Seen] = found["seen"]
     real: dict[str, Any] = {}
-    if plan.real and not args.no_real:
+    if plan.real and args.only != "hollow":
         from umberusher.scale.real import Real
         real = Real(plan).play()
     signal.signal(signal.SIGTERM, before)
@@ -54,6 +60,7 @@
     show(found, real)
     slowest = [each["change in force at the last broker, largest"]["value"] for each in scenes.values()
                if "change in force at the last broker, largest" in each]
+    slowest = slowest or [each["value"] for name, each in real.items() if name.endswith("in force, largest")]
     point = {"x": plan.size["brokers"], "value": max(slowest, default=0.0), "unit": "s",
              "what": "time until a change is in force at the last broker, largest of all scenes"}
     more = {"size": plan.size, "statements": plan.load, "digest": found["digest"], "not_run": found["not_run"],
@@ -71,9 +78,10 @@
 
 def show(found: dict[str, Any], real: dict[str, Any]) -> None:
     """Print the main figures as tables."""
-    run_ = found["run"]
-    tools.out.print(f"step clock, digest {found['digest']}; the run took {run_['wall']['value']} s and "
-                    f"{run_['memory, largest']['value']} MB on {found['workers']} workers", markup=False)
+    taken = found["run"]
+    if taken:
+        tools.out.print(f"step clock, digest {found['digest']}; the run took {taken['wall']['value']} s and "
+                        f"{taken['memory, largest']['value']} MB on {found['workers']} workers", markup=False)
     for scene in found["not_run"]:
         tools.out.print(f"NOT RUN: {scene}", markup=False)
     if found["why"]:
--- a/umberusher/scale/real.py
+++ b/umberusher/scale/real.py
@@ -36,7 +36,7 @@
 from umberusher.standin.sharing import Shape
 
 NODES = 8  # stand-in engines behind all ids
-READY_S, SETTLE_S, END_S = 60.0, 5.0, 15.0  # the longest wait for a start, for a change, for an end
+READY_S, SETTLE_S, END_S = 30.0, 5.0, 15.0  # the longest wait for a start, for a change, for an end
 MEMORY_MB, SOCKETS = 256, 4_096  # a broker's limits
 TURN_MS = 20.0  # of this process's loop
 TICKS = os.sysconf("SC_CLK_TCK")
