--- a/umberusher/scale/figures.py
+++ b/umberusher/scale/figures.py
@@ -44,7 +44,8 @@
     up: list[int] = field(default_factory=list)  # numbers of the engines that are up, alike in all workers
     statements: array = field(default_factory=lambda: array("L"))  # by engine
     connections: array = field(default_factory=lambda: array("L"))
-    scopes: array = field(default_factory=lambda: array("L"))
+    scopes: array = field(default_factory=lambda: array("L"))  # brokers whose module is told of it
+    drawn: array = field(default_factory=lambda: array("L"))  # brokers whose module draws it in the first place
     holds: dict[str, int] = field(default_factory=dict)  # of the broker that holds most
     without_word: int | None = None  # brokers that did not hear while something was lost, at the end of that
     over_us: list[int] = field(default_factory=list)  # a change of primary: until its keys go on, by broker
@@ -76,7 +77,7 @@
             if second == len(whole.by_second):
                 whole.by_second.append(Counter())
             whole.by_second[second].update(counts)
-        for name in ("statements", "connections", "scopes"):
+        for name in ("statements", "connections", "scopes", "drawn"):
             sums, more = getattr(whole, name), getattr(part, name)
             setattr(whole, name, array("L", map(int.__add__, sums, more)) if sums else array("L", more))
         for name, most in part.holds.items():
@@ -147,6 +148,7 @@
         found[f"a control machine at its worst second, {name}"] = figure(worst / scale, unit)
     _uneven(found, "connections", seen.connections, seen.up)
     _uneven(found, "brokers with it in scope", seen.scopes, seen.up)
+    _uneven(found, "brokers that draw it", seen.drawn, seen.up)
     mean = _uneven(found, "statements", seen.statements, seen.up)
     found["statements an engine, largest over mean by chance alone"] = figure(
         chance_largest(mean, len(seen.up)), "times")
--- a/umberusher/scale/world.py
+++ b/umberusher/scale/world.py
@@ -265,7 +265,7 @@
         seen.brokers = len(self.brokers)
         seen.up = sorted(self.engines.numbers[line.engine] for line in self.listed.values()
                          if line.state == "SERVING" and line.kind == KIND)
-        seen.connections, seen.scopes = array("L", bytes(8 * size)), array("L", bytes(8 * size))
+        seen.connections, seen.scopes, seen.drawn = (array("L", bytes(8 * size)) for _ in range(3))
         numbers = self.engines.numbers
         for broker in self.brokers.values():
             broker.tidy(IDLE_MS)
@@ -280,8 +280,9 @@
                     seen.ready_us.append(round((broker.ready_at - broker.began) * 1e6))
             for engine in broker.connections:
                 seen.connections[numbers[engine]] += 1
-            for engine in broker.gateway.engines:
-                seen.scopes[numbers[engine]] += 1
+            for name, engine in broker.gateway.engines.items():
+                seen.scopes[numbers[name]] += 1
+                seen.drawn[numbers[name]] += engine.near
             for name, count in broker.holds().items():
                 seen.holds[name] = max(seen.holds.get(name, 0), count)
         for machine in self.control.machines:
