--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -296,7 +296,8 @@
     def part(worst: int, second: int) -> Seen:
         return Seen(seconds=2.0, brokers=2, worst_us={1: worst}, applied=Counter({1: 2}), up=[0, 1],
                     machines={(0, second): [1, 10, 0]}, by_second=[Counter(served=1)], control_bytes=[second * 1000],
-                    statements=array("L", [1, 2]), connections=array("L", [1, 0]), scopes=array("L", [2, 2]), drawn=array("L", [2, 2]),
+                    statements=array("L", [1, 2]), connections=array("L", [1, 0]), scopes=array("L", [2, 2]),
+                    drawn=array("L", [2, 2]),
                     ends=Counter(served=3), holds={"listed": worst})
 
     whole = figures.merge([part(5, 0), part(7, 1)])
