Hold lists as long as memory allows, and ask for a useless one ever more seldom

A list of 32,000 engines is longer than the 4 MiB that an answer might have.

- An answer may be as long as 0.3 of the memory limit allows at 7 bytes of memory a byte (board.list_limit): 8.2 MB with 192 MB, 1.4 MB with 32 MB.
- What can't be held or read (too long, no JSON, another status, senseless, a complete list of which no entry can be read, numbers that go back) is told in one line a cause until the board is read again, and asked for after a wait that doubles from 50 ms to 5 s, or to 60 s after over 64 KiB; spread by the broker's own random.
A told length over the limit ends the reading at once.
Connections that fail keep their waits of 0, 50 to 400 ms, drawn from the upper half of each, so that none comes later than before.
- A ring that is emptied at each reading never grew: a first list was read 64 bytes at a time, some 100,000 turns of the loop for 32,000 entries.
It is read 64 KiB at a time now, and has as much more time as it has bytes at 1 MB/s: 0.7 s for the whole of it had a long one given up and fetched again.
- Entries are made while the text is read, so that its bytes, a copy, its text and a dict for each entry don't stand in memory together; ids, zones, kinds and hosts are interned.
An entry named twice counts as it was named last, with one line; a complete list that names nothing is taken with one line.
An integer longer than a float costs its field alone.
- A board that closes after each answer is not asked at once again and again.
- Between the processes of a hot restart only the notice is told, with the number it follows; a gap asks for the whole list once; a process that says no `reads` is told the whole list as before, one at a time.
The greeting is bounded by the same memory rule and has 1.5 s and as much more as its bytes take at 2 MB/s; it is put together in linear time and names only the ids that are not listed any more.

Three standing tests read the list as JSON text in pieces now; they check the same.

The short plan's digest in tests/test_replay.py is new: the list is taken in fewer turns of the loop. With that one part taken back it is the old one.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -41,7 +41,7 @@
 def test_an_engine_that_drains_without_an_address_is_passed_on_and_may_come_back(rig):
     rig = rig()
     tell(rig, {"instanceId": "s-9", "lifecycle": "DRAINING"})
-    assert rig.broker._known()["notices"][0]["pool"]["instances"][1]["lifecycle"] == "DRAINING"
+    assert json.loads("".join(rig.broker._known()))["notices"][0]["pool"]["instances"][1]["lifecycle"] == "DRAINING"
     tell(rig, {"instanceId": "s-9", "lifecycle": "SERVING", "hostPort": rig.address("s-0")})
     assert rig.broker.route.find("s-9").address[1] and rig.broker.gateway.engines["s-9"].up
 
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -297,7 +297,7 @@
     from umberusher import interface as api
     from umberusher.protocol import board
     entry = api.EngineEntry("s-0", EngineState.DRAINING, "std-8", "room-a", 1, 4.0, 7.0)
-    notice, = board.notices(json.loads(json.dumps(board.document(9, [(entry, ("127.0.0.1", 80))]))), 0)
+    notice, = board.notices(json.loads("".join(board.document(9, [(entry, ("127.0.0.1", 80))]))), 0)
     assert notice.complete and notice.rev == 9 and notice.entries == (entry,)
     assert notice.addresses == {"s-0": ("127.0.0.1", 80)}
 
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -31,7 +31,7 @@
 RULES = Rules(frozenset({"load"}), frozenset({"load"}))
 # Of the plan and the faults below. It changes with the decisions, the stand-ins and the checker's log; where that is
 # meant, the new one goes here, and the commit says what changed.
-DIGEST = "4f593815d76c1d1ff70ba935bc72174a"
+DIGEST = "792b2463d24773755c04e7663339e588"
 
 
 def plan_of(seconds: float = 6.0, rate: float = 60.0, keys: int = 40) -> Plan:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections import Counter
 
 import pytest
@@ -284,7 +285,7 @@
     assert len(broker.route.members) == len(broker.gateway.engines) == count - count // 2
     broker.route.take(many(rig, count, reset=True))
     assert len(broker.gateway.up) == count
-    known = config.parse(CONF | {"known": broker._known()}).known
+    known = config.parse(CONF | {"known": json.loads("".join(broker._known()))}).known
     assert len(known[0].entries) == count and not known[0].skipped
 
 
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -7,7 +7,8 @@
 import os
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 from umberusher import figures
@@ -19,7 +20,7 @@
 from umberusher.discovery import Discovery
 from umberusher.hot_restart import HotRestart, Side, Taken, Use, take_over
 from umberusher.net.loop import Loop
-from umberusher.protocol.board import document
+from umberusher.protocol.board import Notice, document
 from umberusher.stages.admit import Admit
 from umberusher.stages.book import Book
 from umberusher.stages.relay import Relay
@@ -89,14 +90,18 @@
                             descriptors - for_engines, Form(config.settings), config.memory_mb)
         if self.gate:
             self._join_gate(self.gate)
-        self.discovery = Discovery(self.loop, config.board, lambda: self.route.rev, self.route.take)
+        self.discovery = Discovery(self.loop, config.board, lambda: self.route.rev, self._take, config.list_bytes,
+                                   Random(f"{config.seed:x} {config.name}"))
         self.admin = Admin(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.ban, self.route.unban))
         self.hot_restart = HotRestart(self.loop, path, Side(
             hello=self._hello, listener=lambda: self.front.listener and self.front.listener.sock, use=self._use,
-            known=self._known, news=self.route.take, ban=self._ban, clients=lambda: self.front.clients,
-            come=self.front.come, hold=self._hold, teams=lambda: self.gate.later() if self.gate else {},
-            teams_told=lambda state: self.gate.take_over(state) if self.gate else None))
-        self.route.on_ban, self.route.on_news = self.hot_restart.tell_ban, self.hot_restart.tell_news
+            known=self._known, rev=lambda: self.route.rev, news=self._take, ban=self._ban,
+            clients=lambda: self.front.clients, come=self.front.come, hold=self._hold,
+            teams=lambda: self.gate.later() if self.gate else {},
+            teams_told=lambda state: self.gate.take_over(state) if self.gate else None), config.list_bytes)
+        self.noticed: tuple[Notice, int] | None = None  # the notice that is being taken, and the number it follows
+        self.route.on_ban = self.hot_restart.tell_ban
+        self.route.on_news = lambda: self.hot_restart.tell_news(*(self.noticed or (None, 0)))
         self.carry: dict[type, Callable[..., None]] = {
             api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self.book.refuse,
             api.Fail: self.book.fail, api.Probe: lambda a: self.send.probe(a.engine),
@@ -205,7 +210,7 @@
             self.route.take(notice)
         if self.config.admin:
             self.admin.listen(self.config.admin)
-        taken = take_over(self.hot_restart.path) if self.hot_restart.path else None
+        taken = take_over(self.hot_restart.path, limit=self.config.list_bytes) if self.hot_restart.path else None
         if isinstance(taken, Taken):
             self._follow(taken)
         else:
@@ -246,11 +251,21 @@
 
     # -- For the peers of an upgrade
 
-    def _known(self) -> dict[str, Any]:
+    def _take(self, notice: Notice) -> None:
+        """Take a notice; the other processes are told just this one."""
+        self.noticed = notice, self.route.rev
+        try:
+            self.route.take(notice)
+        finally:
+            self.noticed = None
+
+    def _known(self) -> Iterator[str]:
         return document(self.route.rev, ((each.told, each.address) for each in self.route.members.values()))
 
     def _hello(self) -> dict[str, Any]:
-        return {"known": self._known(), "seen": list(self.route.seen), "banned": self.route.banned,
+        """All but the list; what is listed counts as seen there too."""
+        return {"seen": [name for name in self.route.seen if name not in self.route.members],
+                "banned": self.route.banned,
                 "fresh": {name: member.fresh_ms for name, member in self.route.members.items() if member.fresh_ms},
                 "teams": self._teams()}
 
--- a/umberusher/config.py
+++ b/umberusher/config.py
@@ -11,7 +11,7 @@
 from umberusher import interface as api
 from umberusher import wire
 from umberusher.errors import UsageError
-from umberusher.protocol.board import BoardFault, Notice, address, notices
+from umberusher.protocol.board import BoardFault, Notice, address, list_limit, notices
 
 
 class ConfigError(UsageError):
@@ -38,6 +38,11 @@
     max_open: int = 10_000
     admin: tuple[str, int] | None = None  # the admin listener
 
+    @property
+    def list_bytes(self) -> int:
+        """The longest list that the memory limit allows."""
+        return list_limit(self.memory_mb)
+
 
 def _number(source: Mapping[str, Any], name: str, default: float, least: float) -> float:
     value = source.get(name, default)
--- a/umberusher/hot_restart.py
+++ b/umberusher/hot_restart.py
@@ -1,10 +1,12 @@
 """HotRestart: an old process and its successor act as one broker, linked by a Unix socket in ``$TMPDIR``.
 
 The old one sends one byte that carries the clients' listener and one end of a channel, then ``hello``; after that each
-side sends a JSON line a message: ``ready`` (the successor accepts from now on), ``known`` (a list newer than the last),
-``ban`` and ``use``. While the old one
-leaves, each packet of the channel carries one client's connection; ``answer`` brings what is to be written there,
-``leave`` tells that a client waits no more. Nothing that goes wrong here may cost service: every fault is one log line.
+side sends a JSON line a message: ``reads`` (the newest form of these messages that it knows), ``ready`` (the successor
+accepts from now on), ``notice`` (one of the board, with the number it ``follows``), ``ask`` (the whole list: a notice
+between is missing), ``known`` (the whole list), ``ban`` and ``use``. A process that says no ``reads`` knows no
+``notice`` and is told ``known`` at each change. While the old one leaves, each packet of the channel carries one
+client's connection; ``answer`` brings what is to be written there, ``leave`` tells that a client waits no more.
+Nothing that goes wrong here may cost service: every fault is one log line.
 """
 
 from __future__ import annotations
@@ -24,12 +26,16 @@
 from umberusher.net.connection import Connection, Raw, State
 from umberusher.net.listener import Listener
 from umberusher.net.loop import READ, Coroutine, Loop, Wait
-from umberusher.protocol.board import MAX_BODY, BoardFault, Notice, notices
+from umberusher.net.ring import Ring
+from umberusher.protocol.board import LIMIT, BoardFault, Notice, event, notices, read
 from umberusher.stages.take_in import Client
 
 log = logging.getLogger(__name__)
-HELLO_MOST = 2 * MAX_BODY  # bytes of a message: a list as long as the board can tell, and all ids and bans
-HELLO_S = 1.5  # for the whole greeting; the start waits for it
+MESSAGE_PART = 2  # of the longest list that memory allows, a message: as much again for ids, bans and budgets
+HELLO_S = 1.5  # for a short greeting; the start waits for it
+HELLO_RATE = 2e6  # bytes a second, of a long one: it has so much more time, and one that drips has none
+READS = 2  # the form of the messages that this program knows: 2 has ``notice`` and ``ask``
+INBOUND = 1 << 17  # bytes read in one go
 PEERS_MOST = 4
 PACKET_MOST = 4_096  # bytes that come with one connection
 
@@ -60,16 +66,18 @@
     banned: dict[str, float]
     fresh: dict[str, float]  # when engines were called back
     teams: dict[str, Any] = field(default_factory=dict)  # budgets, where there are contracts
+    reads: int = 1  # the form of messages that the process before knows
 
 
 @dataclass(slots=True)
 class Side:
     """What the broker does for its peers."""
 
-    hello: Callable[[], dict[str, Any]]
+    hello: Callable[[], dict[str, Any]]  # all but the list
     listener: Callable[[], socket.socket | None]
     use: Callable[[], Use]
-    known: Callable[[], dict[str, Any]]
+    known: Callable[[], Iterable[str]]  # the whole list, as JSON text in pieces
+    rev: Callable[[], int]  # the last notice that was taken
     news: Callable[[Notice], None]
     ban: Callable[[str, float | None], None]
     clients: Callable[[], Iterable[Client]]  # the connections that may be passed on
@@ -85,7 +93,15 @@
     return os.path.join(place, f"umberusher-{address[0]}-{address[1]}.sock") if place else None
 
 
-def take_over(path: str, clock: Callable[[], float] = time.monotonic) -> Taken | str | None:
+def _line(head: str, pieces: Iterable[str], tail: str) -> Iterator[bytes]:
+    """One message as bytes, in the pieces in which it is sent."""
+    yield head.encode()
+    for piece in pieces:
+        yield piece.encode()
+    yield f"{tail}\n".encode()
+
+
+def take_over(path: str, clock: Callable[[], float] = time.monotonic, limit: int = LIMIT) -> Taken | str | None:
     """Greet the process that serves now: what it gives, None where there is none, a text where it is of no use.
 
     It waits, and for a bounded time: the loop does not run yet, and a start must not hang on a peer that does.
@@ -96,21 +112,31 @@
         return None
     fds: list[int] = []
     try:
-        until = clock() + HELLO_S
+        begun = clock()
         link.settimeout(HELLO_S)
         link.connect(path)
         _, fds, _, _ = socket.recv_fds(link, 1, 2)
         if not fds:
             raise ValueError("no listener came")
-        got = b""
-        while b"\n" not in got:
+        got, end = bytearray(), -1
+        while end < 0:
+            until = begun + HELLO_S + len(got) / HELLO_RATE
             link.settimeout(max(until - clock(), 0.001))
-            part = link.recv(1 << 16)
-            if not part or len(got) > HELLO_MOST or clock() > until:
+            part = link.recv(INBOUND)
+            if not part or clock() > until:
                 raise ValueError("no greeting came")
+            end = part.find(b"\n")
+            if end >= 0:
+                end += len(got)
             got += part
-        line, _, rest = got.partition(b"\n")
-        hello = json.loads(line)["hello"]
+            if len(got) > MESSAGE_PART * limit:
+                raise ValueError(f"a greeting of over {MESSAGE_PART * limit:,} bytes")
+        rest = bytes(got[end + 1:])
+        del got[end:], part
+        text = got.decode()
+        del got
+        hello = read(text)["hello"]
+        del text
         known = notices(hello["known"], 0)
         if isinstance(known, BoardFault):
             raise ValueError(known.why)
@@ -118,17 +144,23 @@
         banned, fresh = ({str(name): float(ms) for name, ms in hello[part].items()} for part in ("banned", "fresh"))
         teams = hello.get("teams") if isinstance(hello.get("teams"), dict) else {}  # an older version has none
         listener, channel = [*(socket.socket(fileno=fd) for fd in fds), None][:2]
-        return Taken(listener, channel, link, rest, known, seen, banned, fresh, teams)
+        return Taken(listener, channel, link, rest, known, seen, banned, fresh, teams, _reads(hello))
     except (FileNotFoundError, ConnectionRefusedError):  # nobody there; a file may lie there still
         link.close()
         return None
-    except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
+    except (OSError, ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
         link.close()
         for fd in fds:
             os.close(fd)
         return f"{type(error).__name__} {error}"
 
 
+def _reads(message: dict[str, Any]) -> int:
+    """The form of messages that the other process knows; an older one says none."""
+    reads = message.get("reads", 1)
+    return reads if isinstance(reads, int) else 1
+
+
 @dataclass(slots=True, eq=False)
 class Peer:
     """The link to another process of this broker."""
@@ -137,6 +169,10 @@
     conn: Connection
     successor: bool
     ready: bool = False
+    reads: int = 1  # the form of messages that it knows
+    owed: bool = False  # the whole list is to be told once all before it is with the kernel
+    asked: bool = False  # for the whole list, which has not come yet
+    part: bytearray = field(default_factory=bytearray)  # of a message whose end has not come
     use: Use = field(default_factory=Use)
     told: Use | None = None
     channel: socket.socket | None = None
@@ -204,30 +240,68 @@
         """Send one message."""
         self.conn.send(Raw(json.dumps(message).encode() + b"\n"))
 
+    def tell_in_pieces(self, message: Iterable[bytes]) -> None:
+        """Send one message that is long."""
+        for piece in message:
+            self.conn.send(Raw(piece))
+
+    def tell_notice(self, notice: Notice | None, follows: int) -> None:
+        """Tell what the board has told, to a process that has all up to the number it follows, or asks."""
+        if self.owed:  # the whole list will have it
+            return
+        if self.reads < 2 or notice is None or notice.complete:
+            self.owe()
+            return
+        told = ((entry, notice.addresses[entry.engine]) for entry in notice.entries)
+        self.tell_in_pieces(_line(f'{{"follows":{follows},"notice":', event(notice.rev, False, told), "}"))
+
+    def owe(self) -> None:
+        """Tell the whole list now, or once the other process has taken what it was told before.
+
+        Guards memory: to one that is slow, lists of megabytes would queue up, the older ones for nothing.
+        """
+        self.owed = True
+        self.pay()
+
+    def pay(self) -> None:
+        """Tell the whole list where it is owed and its turn has come."""
+        if self.owed and self.conn.idle:
+            self.owed = False
+            self.tell_in_pieces(_line('{"known":', self.owner.side.known(), "}"))
+
     def data(self) -> None:
         """Take all whole messages."""
-        while self.conn.state is State.OPEN:
-            end = self.conn.inbound.find(b"\n", HELLO_MOST)
-            if end < 0:
-                if self.conn.inbound.room <= 0:
-                    self.conn.close("a message without an end")
-                return
+        self.take(self.conn.inbound.take(len(self.conn.inbound)))
+
+    def take(self, data: bytes) -> None:
+        """Take bytes; what is no whole message yet is kept."""
+        begin = 0
+        while self.conn.state is State.OPEN and (end := data.find(b"\n", begin)) >= 0:
+            self.part += data[begin:end]
+            line, self.part = self.part, bytearray()
+            begin = end + 1
             try:
-                self._take(json.loads(self.conn.inbound.take(end + 1)))
-            except (ValueError, KeyError, TypeError, AttributeError) as error:
+                self._take(read(line.decode()))
+            except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as error:
                 # Guards against a peer of another version, or one that has lost its mind: it is left, service goes on.
                 self.conn.close(f"nonsense: {type(error).__name__} {error}")
+        self.part += data[begin:]
+        if len(self.part) > MESSAGE_PART * self.owner.limit:
+            self.conn.close("a message without an end")
 
     def _take(self, message: dict[str, Any]) -> None:
         if "use" in message:
             memory, clients, engines = message["use"]
             self.use = Use(float(memory), int(clients), int(engines))
+        if "reads" in message:
+            self.reads = _reads(message)
         if "known" in message:
-            known = notices(message["known"], 0)
-            if isinstance(known, BoardFault):
-                raise ValueError(known.why)
-            for notice in known:
-                self.owner.side.news(notice)
+            self.asked = False
+            self._hear(message["known"])
+        if "notice" in message:
+            self._follow(message["notice"], int(message["follows"]))
+        if "ask" in message:
+            self.owe()
         if "ban" in message:
             engine, since = message["ban"]
             self.owner.source = self
@@ -254,6 +328,26 @@
                 self.tell(teams=teams)
             self.owner.replaced()
 
+    def _follow(self, notice: dict[str, Any], follows: int) -> None:
+        """Take a notice that follows on what is here; where one between is missing, ask for the whole list, once."""
+        if follows <= self.owner.side.rev():
+            self._hear({"notices": [notice]})
+        elif not self.asked:
+            self.asked = True
+            self.tell(ask=self.owner.side.rev())
+
+    def _hear(self, document: object) -> None:
+        """Take notices; those that are no news end in the list."""
+        found = notices(document, self.owner.side.rev())
+        if isinstance(found, BoardFault):
+            raise ValueError(found.why)
+        self.owner.source = self
+        try:
+            for notice in found:
+                self.owner.side.news(notice)
+        finally:
+            self.owner.source = None
+
     def _closed(self, why: str) -> None:
         log.info("hot restart: link closed: %s", why)
         if not self.successor:
@@ -270,8 +364,9 @@
 class HotRestart:
     """All links of this process, and the socket that a successor finds."""
 
-    def __init__(self, loop: Loop, path: str | None, side: Side) -> None:
+    def __init__(self, loop: Loop, path: str | None, side: Side, limit: int = LIMIT) -> None:
         self.loop, self.path, self.side = loop, path, side
+        self.limit = limit  # bytes of the longest list
         self.peers: list[Peer] = []
         self.listener: Listener | None = None
         self.source: Peer | None = None  # whose word is being carried out: it need not be told
@@ -316,17 +411,19 @@
             link.close()
             return
         log.info("hot restart: a successor has come")
-        self._join(link, ours, successor=True).tell(hello=self.side.hello())
+        peer = self._join(link, ours, successor=True)
+        more = json.dumps(self.side.hello() | {"reads": READS})
+        peer.tell_in_pieces(_line('{"hello":{"known":', self.side.known(), f",{more[1:]}}}"))
 
     def _join(self, link: socket.socket, channel: socket.socket | None, successor: bool, rest: bytes = b"") -> Peer:
         link.setblocking(False)
-        conn = Connection(self.loop, link, State.OPEN, HELLO_MOST, HELLO_MOST)
-        conn.inbound.write(rest)
+        conn = Connection(self.loop, link, State.OPEN, INBOUND, MESSAGE_PART * self.limit)
+        conn.inbound = Ring.wide(INBOUND)
         self.loop.hurry(conn.fd)
         peer = Peer(self, conn, successor, channel=channel)
         self.peers.append(peer)
         self.loop.spawn(conn.serve())
-        peer.data()
+        peer.take(rest)
         return peer
 
     def _stop_listening(self) -> None:
@@ -338,7 +435,9 @@
 
     def join(self, taken: Taken) -> None:
         """Keep the link to the process that serves until now."""
-        self._join(taken.link, taken.channel, successor=False, rest=taken.rest)
+        peer = self._join(taken.link, taken.channel, successor=False, rest=taken.rest)
+        peer.reads = max(peer.reads, taken.reads)
+        peer.tell(reads=READS)
 
     def say_ready(self) -> None:
         """This process accepts from now on."""
@@ -367,7 +466,7 @@
     @property
     def idle(self) -> bool:
         """Whether all that was told is with the kernel."""
-        return all(peer.conn.idle for peer in self.peers)
+        return all(peer.conn.idle and not peer.owed for peer in self.peers)
 
     def replaced(self) -> None:
         """A successor accepts: its own socket lies over the path now."""
@@ -385,13 +484,13 @@
         for peer in [each for each in self.peers if each is not self.source]:
             peer.tell(ban=[engine, since])
 
-    def tell_news(self) -> None:
-        """The list is newer. Guards drains: a board that has moved or fallen silent for one process may tell another.
+    def tell_news(self, notice: Notice | None, follows: int) -> None:
+        """A notice was taken on top of that number; None where only the list is there to tell.
 
-        It is told whole, so that nothing is missing whatever the other has heard; what is no news there ends there.
+        Guards drains: a board that has moved or fallen silent for one process may tell another.
         """
-        for peer in self.peers:
-            peer.tell(known=self.side.known())
+        for peer in [each for each in self.peers if each is not self.source]:
+            peer.tell_notice(notice, follows)
 
     def others(self) -> Use:
         """What all other processes of this broker hold."""
@@ -401,9 +500,10 @@
         return total
 
     def tell_use(self) -> None:
-        """Tell each peer what this process holds, and those behind it."""
+        """Tell each peer what this process holds, and those behind it, and the list where it is owed."""
         own = self.side.use()
-        for peer in self.peers:
+        for peer in list(self.peers):
+            peer.pay()
             now = own
             for other in self.peers:
                 now = now.plus(other.use) if other is not peer else now
--- a/umberusher/net/ring.py
+++ b/umberusher/net/ring.py
@@ -17,6 +17,17 @@
         self._data = bytearray(min(BARE, limit))
         self._head = self._size = 0
 
+    @classmethod
+    def wide(cls, limit: int) -> Ring:
+        """One that has all its place from the start.
+
+        Guards streams that are taken as they come: a ring that is always emptied never grows, and would be filled with
+        ``BARE`` bytes at each reading.
+        """
+        ring = cls(limit, limit)
+        ring._data = bytearray(limit)
+        return ring
+
     def __len__(self) -> int:
         return self._size
 
