--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -15,6 +15,7 @@
 from umberusher import broker, discovery, hot_restart
 from umberusher.interface import EngineState
 from umberusher.net.loop import Loop
+from umberusher.protocol import board
 
 ABORTED, TRYLATER = struct.pack(">bh", 12, 2), struct.pack(">bh", 12, 1)
 
@@ -398,3 +399,134 @@
     assert b"a\t1\t2\n" in rig.answer(client)
     assert [record.getMessage().startswith("hot restart: no upgrade without a break") for record in caplog.records
             if "hot restart" in record.getMessage()] == [True]
+
+
+def listed(rig, count: int, path) -> Rig:
+    """A broker with so many engines in its list."""
+    made = rig(1, str(path / "s"))
+    made.broker.route.take(made.notice(*[(f"e-{number:05d}", "s-0", "SERVING") for number in range(count)]))
+    return made
+
+
+def told_in(monkeypatch) -> list[dict]:
+    """The messages that any process of the test gets."""
+    found, take = [], hot_restart.Peer._take
+    monkeypatch.setattr(hot_restart.Peer, "_take", lambda self, message: (found.append(message), take(self, message)))
+    return found
+
+
+def test_a_change_is_told_to_the_other_process_alone_not_with_the_whole_list(rig, tmp_path):
+    """The whole list went over at every change: megabytes where thousands are listed."""
+    made = listed(rig, 1000, tmp_path)
+    new = made.successor()
+    made.later(200)
+    link = made.broker.hot_restart.peers[0].conn
+    before = link.sent
+    made.expect(made.board, b"watch=")
+    for number in range(5):
+        made.news((f"e-{number:05d}", "s-0", "DRAINING"))
+        made.until(lambda: new.route.rev == made.rev)
+    assert link.sent - before < 5 * 500 and new.route.find("e-00004") is None and len(new.route.members) == 1001
+
+
+def test_what_both_have_heard_is_taken_once_and_not_told_back(rig, tmp_path, monkeypatch):
+    made, new = upgraded(rig, tmp_path)
+    told = told_in(monkeypatch)
+    made.news(("s-0", "s-0", "DRAINING"))
+    made.until(lambda: new.route.rev == made.rev)
+    made.later(200)
+    assert sum("notice" in each for each in told) == 1 and not any("known" in each for each in told)
+    peer, post = made.broker.hot_restart.peers[0], []
+    new.route.post = post.append
+    peer.tell_notice(made.broker.config.known[0], 0)  # an old and complete one: the list as it is now goes over
+    made.broker.hot_restart.tell_news(board.Notice(made.rev, False, (), {}), 0)  # one that it has
+    made.later(200)
+    assert not post and not any("ask" in each for each in told)
+
+
+def test_a_gap_asks_for_the_whole_list_once(rig, tmp_path, monkeypatch):
+    made = listed(rig, 300, tmp_path)
+    new = made.successor()
+    made.later(200)
+    asked, whole = told_in(monkeypatch), []
+    known = made.broker.hot_restart.side.known
+    made.broker.hot_restart.side.known = lambda: (whole.append(made.broker.route.rev), known())[1]
+    on_news, made.broker.route.on_news = made.broker.route.on_news, lambda: None
+    made.news(("e-00001", "s-0", "DRAINING"))  # which the successor is not told
+    made.broker.route.on_news = on_news
+    for number in (2, 3, 4):
+        made.news((f"e-{number:05d}", "s-0", "DRAINING"))
+    made.until(lambda: new.route.rev == made.rev)
+    assert all(new.route.find(f"e-{number:05d}") is None for number in (1, 2, 3, 4)) and new.route.find("e-00005")
+    assert len(whole) == 1 and sum("ask" in each for each in asked) == 1
+    made.news(("e-00005", "s-0", "DRAINING"))
+    made.until(lambda: new.route.rev == made.rev)
+    assert len(whole) == 1
+
+
+def greeted(rig, path) -> tuple[Peer, dict]:
+    """A successor of an older version, played by the test, and what it is greeted with."""
+    link = socket.socket(socket.AF_UNIX)
+    link.connect(path)
+    rig.until(lambda: rig.broker.hot_restart.peers)
+    _, fds, _, _ = socket.recv_fds(link, 1, 2)
+    for fd in fds:
+        os.close(fd)
+    peer = rig.keep(Peer(link))
+    rig.until(lambda: b"\n" in peer.read())
+    line, _, peer.got = peer.got.partition(b"\n")
+    return peer, json.loads(line)["hello"]
+
+
+def test_the_greeting_names_only_ids_that_are_not_listed_any_more(rig, tmp_path):
+    made = listed(rig, 50, tmp_path)
+    made.news(("e-00007", "s-0", "DELETED"))
+    assert greeted(made, str(tmp_path / "s"))[1]["seen"] == ["e-00007"]
+
+
+def test_a_process_of_an_older_version_is_told_the_whole_list_but_one_at_a_time(rig, tmp_path):
+    made = listed(rig, 2000, tmp_path)
+    peer, hello = greeted(made, str(tmp_path / "s"))
+    assert len(hello["known"]["notices"][0]["pool"]["instances"]) == 2001
+    assert hello.keys() >= {"seen", "banned", "fresh"}
+    made.later(200)
+    for number in range(40):  # it takes nothing meanwhile
+        made.news((f"e-{number:05d}", "s-0", "DRAINING"))
+    link = made.broker.hot_restart.peers[0].conn
+    assert sum(len(message.encode()) for message in link.outbox) < 1_000_000 and not made.broker.hot_restart.idle
+
+    def newest() -> bool:
+        for _ in range(50):
+            peer.read()
+        made.now += 0.02
+        return b'"rev":%d' % made.rev in peer.got.replace(b" ", b"") and peer.got.endswith(b"\n")
+
+    made.until(newest)
+    told = [json.loads(line) for line in peer.got.splitlines()]
+    known = [each["known"]["notices"][0] for each in told if "known" in each]
+    assert not any("notice" in each for each in told) and 1 <= len(known) <= 6 and known[-1]["rev"] == made.rev
+    drained = [each for each in known[-1]["pool"]["instances"] if each["lifecycle"] == "DRAINING"]
+    assert len(drained) == 40 and made.broker.hot_restart.idle
+
+
+def test_a_process_before_of_an_older_version_hears_the_news_too(rig, tmp_path, monkeypatch):
+    """It knows no notices, and says nothing of what it reads."""
+    monkeypatch.setattr(hot_restart, "_reads", lambda message: 1, raising=False)
+    made = rig(2, str(tmp_path / "s"))
+    new = made.successor()
+    told = told_in(monkeypatch)
+    new.discovery.take(made.notice(("s-0", "s-0", "DRAINING")))
+    made.until(lambda: made.broker.route.find("s-0") is None)
+    assert any("known" in each for each in told) and not any("notice" in each for each in told)
+
+
+def test_a_message_that_comes_in_pieces_is_read_whole_and_one_without_an_end_is_not_kept(rig, tmp_path):
+    made, new = upgraded(rig, tmp_path)
+    peer = made.broker.hot_restart.peers[0]
+    line = json.dumps({"ban": ["s-0", 1.0]}).encode() + b"\n" + json.dumps({"ban": ["s-0", None]}).encode() + b"\n"
+    for at in range(0, len(line), 7):
+        peer.take(line[at:at + 7])
+    assert "s-0" not in made.broker.route.banned and not peer.part and "s-0" in made.broker.route.members
+    made.broker.hot_restart.limit = 1000
+    peer.take(b"x" * 2001)
+    assert not made.broker.hot_restart.peers
--- a/umberusher/hot_restart.py
+++ b/umberusher/hot_restart.py
@@ -35,6 +35,7 @@
 HELLO_S = 1.5  # for a short greeting; the start waits for it
 HELLO_RATE = 2e6  # bytes a second, of a long one: it has so much more time, and one that drips has none
 READS = 2  # the form of the messages that this program knows: 2 has ``notice`` and ``ask``
+QUEUED_MOST = 1_024  # messages that wait for a peer, over which it is told the whole list instead, once it takes them
 INBOUND = 1 << 17  # bytes read in one go
 PEERS_MOST = 4
 PACKET_MOST = 4_096  # bytes that come with one connection
@@ -249,7 +250,7 @@
         """Tell what the board has told, to a process that has all up to the number it follows, or asks."""
         if self.owed:  # the whole list will have it
             return
-        if self.reads < 2 or notice is None or notice.complete:
+        if self.reads < 2 or notice is None or notice.complete or len(self.conn.outbox) > QUEUED_MOST:
             self.owe()
             return
         told = ((entry, notice.addresses[entry.engine]) for entry in notice.entries)
