--- a/umberusher/hollow/broker.py
+++ b/umberusher/hollow/broker.py
@@ -9,6 +9,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from random import Random
 
 from umberusher import interface as api
 from umberusher.deadlines.timeline import Timeline
@@ -17,9 +18,10 @@
 from umberusher.hollow.crossed import Crossed
 from umberusher.hollow.engines import Engines
 from umberusher.net.loop import Loop, Timer
-from umberusher.protocol.board import Notice
+from umberusher.protocol.board import Notice, list_limit
 from umberusher.stages.route import Route
 
+MEMORY_MB = 256.0  # a broker's limit, by which it holds lists
 REPORT_MS = 1.0  # what a probe takes
 PROBE_MS = 500.0  # after which a probe of one that says nothing has ended
 
@@ -76,11 +78,12 @@
             api.Remark: self._remark}
 
     def _route(self) -> Route:
-        return Route(self.post, self.time.unix_ms, self.time.inward)
+        return Route(self.post, self.time.unix_ms, self.time.inward, self.settings, self.name)
 
     def start(self, address: tuple[str, int]) -> None:
         """Boot and follow the list."""
-        self.discovery = Discovery(self.loop, address, lambda: self.route.rev, self._take)
+        self.discovery = Discovery(self.loop, address, lambda: self.route.rev, self._take, list_limit(MEMORY_MB),
+                                   Random(self.name))
         self.post(api.Boot())
         self.discovery.start()
 
@@ -247,6 +250,6 @@
         """How much of each kind it holds."""
         gateway = self.gateway
         return {"listed": len(self.route.members), "engines of the module": len(gateway.engines),
-                "ids remembered": len(self.route.seen), "statements": len(gateway.requests),
+                "ids remembered": len(self.route.gone), "statements": len(gateway.requests),
                 "attempts": len(gateway.attempts), "lines of keys": len(gateway.lines),
                 "connections": len(self.connections)}
