--- a/umberusher/hollow/broker.py
+++ b/umberusher/hollow/broker.py
@@ -67,6 +67,7 @@
         self.pumping = self.closed = False
         self.open: dict[str, Open] = {}
         self.serial = 0
+        self.script: Timer | None = None  # what comes next of its statements
         self.began = loop.clock()
         self.ready_at: float | None = None
         self.on_news: Callable[[HollowBroker, int, int], None] = lambda broker, before, after: None
@@ -91,6 +92,8 @@
         """As a process that ends: nothing is told to anyone."""
         self.closed = True
         self.discovery.close()
+        if self.script:
+            self.script.cancel()
         for each in self.open.values():
             for timer in (each.timer, each.answer):
                 if timer:
--- a/umberusher/hollow/control.py
+++ b/umberusher/hollow/control.py
@@ -10,6 +10,7 @@
 
 import re
 import socket
+from collections import deque
 from collections.abc import Callable
 
 import xxhash
@@ -22,10 +23,25 @@
 
 LINGER_MOST_MS = 5_000
 PIECE = 1 << 16  # bytes of an answer that are handed to a connection in one go
+AT_ONCE = 64  # long answers that are under way at a time
 ASKED = re.compile(rb"GET /board/poll\?watch=(\d{1,18})&linger=(\d{1,9}) HTTP/1\.1\r\n")
 REQUESTS, BYTES, WHOLE = range(3)
 
 
+class _Last(Raw):
+    """The last piece of a long answer."""
+
+    __slots__ = ("then",)
+
+    def __init__(self, data: bytes, then: Callable[[], None]) -> None:
+        super().__init__(data)
+        self.then = then
+
+    def written(self) -> None:
+        """The next one may go."""
+        self.then()
+
+
 class Machine:
     """One control machine."""
 
@@ -41,8 +57,11 @@
 class Control:
     """All control machines, as one process plays them."""
 
-    def __init__(self, loop: Loop, ledger: Ledger, regions: int, machines: int) -> None:
-        self.loop, self.ledger = loop, ledger
+    def __init__(self, loop: Loop, ledger: Ledger, regions: int, machines: int, at_once: int = AT_ONCE) -> None:
+        self.loop, self.ledger, self.at_once = loop, ledger, at_once
+        # Guards memory where hundreds of brokers are in one process: each holds all of a long answer before it is read.
+        self.waiting: deque[tuple[Poll, bytes, bytes]] = deque()
+        self.under_way: dict[Poll, None] = {}
         self.views = [View(ledger) for _ in range(regions)]
         self.apart: set[int] = set()  # regions that hear of nothing new
         self.machines = [Machine(number, number % regions) for number in range(machines)]
@@ -80,6 +99,32 @@
         self.listeners[broker].hold(False)
         return sock.getsockname()
 
+    def send(self, poll: Poll, head: bytes, body: bytes) -> None:
+        """Write an answer; a long one waits for its turn."""
+        if len(body) <= PIECE:
+            poll.conn.send(Raw(head + body))
+        else:
+            self.waiting.append((poll, head, body))
+            self._next()
+
+    def _next(self) -> None:
+        while self.waiting and len(self.under_way) < self.at_once:
+            poll, head, body = self.waiting.popleft()
+            if poll.conn.state is not State.OPEN:
+                continue
+            self.under_way[poll] = None
+            poll.conn.send(Raw(head))
+            last = (len(body) - 1) // PIECE * PIECE
+            for at in range(0, last, PIECE):
+                poll.conn.send(Raw(body[at:at + PIECE]))
+            poll.conn.send(_Last(body[last:], lambda poll=poll: self.sent_whole(poll)))
+
+    def sent_whole(self, poll: Poll) -> None:
+        """A long answer is with the kernel, or its connection has ended."""
+        if poll in self.under_way:
+            del self.under_way[poll]
+            self._next()
+
     def leave(self, broker: str) -> None:
         """A broker is gone: its address is given back."""
         self.listeners.pop(broker).close()
@@ -166,14 +211,10 @@
         self._count(WHOLE, int(whole))
         self.control.sent[self.broker] = self.control.sent.get(self.broker, 0) + len(head) + len(body)
         self.control.told(self.broker, view.rev)
-        if len(body) <= PIECE:
-            self.conn.send(Raw(head + body))
-            return
-        self.conn.send(Raw(head))
-        for at in range(0, len(body), PIECE):
-            self.conn.send(Raw(body[at:at + PIECE]))
+        self.control.send(self, head, body)
 
     def _closed(self, why: str) -> None:
         self.control.polls.pop(self, None)
+        self.control.sent_whole(self)
         if self.timer:
             self.timer.cancel()
--- a/umberusher/scale/world.py
+++ b/umberusher/scale/world.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import random
 import resource
@@ -29,6 +30,7 @@
 KIND, PRIMARY = "std-8", "primary-8"
 KEYS, KEYED_SHARE = 16, 0.05  # keys of a broker's loads, and the share of statements that are loads
 QUIET_S = 15.0  # at a scene's end, without changes: what was made comes into force within the scene
+AT_ONCE = 4  # long answers under way in a process: it takes no time on the step clock, but each takes memory
 LEAD_S = 1.0  # from a scene's start to its event
 AGE_MS = 86_400_000.0  # since when engines are up that are not to be cold
 IDLE_MS = 14_000.0  # an idle connection lasts for the keepalive less a second
@@ -65,7 +67,7 @@
         count = int(size["brokers"])
         self.positions = range(count * worker // workers, count * (worker + 1) // workers)
         self.ledger = Ledger()
-        self.control = Control(self.loop, self.ledger, self.regions, int(size["control_machines"]))
+        self.control = Control(self.loop, self.ledger, self.regions, int(size["control_machines"]), AT_ONCE)
         self.engines = Engines(1000 * load["answer"], load["held"])
         self.engines.region_of = {zone: zone % self.regions for zone in range(self.zones)}
         self.crossed = Crossed(self.ledger, site.DRAIN_MS)
@@ -124,7 +126,7 @@
     # -- Statements
 
     def _plan_stretch(self, broker: HollowBroker, after_s: float, number: int) -> None:
-        self.loop.call_later(1000 * after_s, lambda: self._stretch(broker, number))
+        broker.script = self.loop.call_later(1000 * after_s, lambda: self._stretch(broker, number))
 
     def _stretch(self, broker: HollowBroker, number: int) -> None:
         """A short stretch at the full rate; by its length and how often it comes a known share of all is played."""
@@ -357,6 +359,8 @@
         self.generation += 1
         for position in mine:
             self._at(LEAD_S, lambda position=position: self._stop_broker(position))
+        self._at(1.5 * LEAD_S, gc.collect)
+        for position in mine:
             self._at(2 * LEAD_S, lambda position=position: self._start_broker(position))
         self._changes(fields["changes"], LEAD_S, lasts - min(QUIET_S, lasts / 2))
 
