Scatter ids by a stirred checksum: hashlib brought OpenSSL into each broker

A process that imports hashlib beside what a broker has holds 0.6 MB more of its own and 3.7 MB in all; zlib 0.02 and 0.17. The checksum is linear, so rings of other groups would be shifted copies: it is stirred (last steps of MurmurHash3). A script counts the ways of choosing a part (scripts/measure_subsets.py).

--- a/scripts/measure_subsets.py
+++ b/scripts/measure_subsets.py
@@ -86,8 +86,8 @@
         made = [Subset(brokers, place if known else None, f"broker-{place}") for place in range(brokers + 1)]
         width = made[0].width(len(engines), slices, held)
         for each in made if known else ():
-            if each._salt not in by_group:
-                lying = by_group[each._salt] = {}
+            if each.group not in by_group:
+                lying = by_group[each.group] = {}
                 for engine in engines:
                     lying.setdefault((each.distance(engine) + each.first) % slices, []).append(engine)
         subset.SLICES, subset.BITS = before
@@ -95,7 +95,7 @@
         def of(place: int) -> set[str]:
             mine = made[place]
             if known:
-                lying = by_group[mine._salt]
+                lying = by_group[mine.group]
                 return {e for n in range(width) for e in lying.get((mine.first + n) % slices, ())}
             return {e for e in engines if mine.distance(e) < width}
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 from collections import Counter
 
@@ -13,6 +12,7 @@
 from umberusher.decide import Gateway
 from umberusher.interface import Effect, EngineState
 from umberusher.membership import scope as scoping
+from umberusher.membership import subset
 from umberusher.membership.directory import Directory
 from umberusher.membership.scope import ASKED, COMPANIONS, GUESTS_MOST, LISTED_PART, Scope
 from umberusher.membership.subset import HELD, SCOPE, SLICES, Subset
@@ -73,9 +73,9 @@
     """How many of a fleet hold each engine."""
     found: Counter[str] = Counter({f"e{n:05d}": 0 for n in range(engines)})
     for position in range(brokers):
-        subset = Subset(brokers, position, "")
-        wide = width or subset.width(engines, SLICES)
-        found.update(engine for engine in found if subset.distance(engine) < wide)
+        mine = Subset(brokers, position, "")
+        wide = width or mine.width(engines, SLICES)
+        found.update(engine for engine in found if mine.distance(engine) < wide)
     return found
 
 
@@ -94,8 +94,8 @@
     engines = [f"e{n:05d}" for n in range(1000)]
     found: Counter[str] = Counter()
     for number in range(300):
-        subset = Subset(300, None, f"broker-{number}")
-        found.update(engine for engine in engines if subset.distance(engine) < subset.width(1000, SLICES))
+        mine = Subset(300, None, f"broker-{number}")
+        found.update(engine for engine in engines if mine.distance(engine) < mine.width(1000, SLICES))
     assert len(found) == 1000 and sorted(found.values())[980] <= Subset(300, None, "").holders(
         Subset(300, None, "").width(1000, SLICES))
 
@@ -149,18 +149,18 @@
 def counting(monkeypatch) -> Counter[str]:
     """Entries that the scope weighs, hashes and the walks over all."""
     work: Counter[str] = Counter()
-    place, hashed = Scope._place, hashlib.blake2b
+    place, hashed = Scope._place, subset.scattered
 
     def placed(self, *rest):
         work["placed"] += 1
         return place(self, *rest)
 
-    def blake(*rest, **more):
+    def scattered(*rest):
         work["hashed"] += 1
-        return hashed(*rest, **more)
+        return hashed(*rest)
 
     monkeypatch.setattr(Scope, "_place", placed)
-    monkeypatch.setattr("umberusher.membership.subset.hashlib.blake2b", blake)
+    monkeypatch.setattr(subset, "scattered", scattered)
     return work
 
 
@@ -209,9 +209,9 @@
 
 
 def test_a_list_that_swings_about_a_step_moves_nothing():
-    subset = Subset(2100, 3, "")
-    width = subset.width(32_000, SLICES)
-    widths = {width := subset.width(n, width) for n in [28_600, 28_400, 28_700, 28_500] * 5}
+    mine = Subset(2100, 3, "")
+    width = mine.width(32_000, SLICES)
+    widths = {width := mine.width(n, width) for n in [28_600, 28_400, 28_700, 28_500] * 5}
     assert len(widths) == 1
 
 
--- a/umberusher/membership/subset.py
+++ b/umberusher/membership/subset.py
@@ -9,9 +9,10 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
+import zlib
 
+WORD = 1 << 32
 BITS = 9
 SLICES = 1 << BITS  # of a ring, and brokers in a group: the step by which a scope grows, 63 engines of 32,000
 SCOPE = 256  # engines that a broker holds, about: some 30 in each of 8 zones; a statement weighs no more than these
@@ -24,7 +25,19 @@
     """A broker's place in the fleet: as the settings tell it; else drawn from its name, the same after a restart."""
     if position is not None:
         return position
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=6).digest(), "big")
+    return scattered(name, 0)
+
+
+def scattered(name: str, salt: int) -> int:
+    """32 bits that have nothing to do with the name's form, nor with those of another salt.
+
+    A checksum, stirred by the last steps of MurmurHash3 (public domain): the hashes of ``hashlib`` would bring a
+    library of megabytes into each broker.
+    """
+    bits = zlib.crc32(name.encode()) ^ salt * 0x9E3779B1 % WORD
+    bits = (bits ^ bits >> 16) * 0x85EBCA6B % WORD
+    bits = (bits ^ bits >> 13) * 0xC2B2AE35 % WORD
+    return bits ^ bits >> 16
 
 
 def turned(number: int) -> int:
@@ -39,12 +52,11 @@
         self.brokers, self.known = brokers, position is not None
         group, within = divmod(place_of(position, name), SLICES)
         self.first = turned(within)
-        self._salt = group.to_bytes(8, "big")
+        self.group = group
 
     def distance(self, engine: str) -> int:
         """How many slices an engine lies behind the broker's first one: held where that is less than the width."""
-        digest = hashlib.blake2b(engine.encode(), digest_size=4, salt=self._salt).digest()
-        return (int.from_bytes(digest, "big") - self.first) % SLICES
+        return (scattered(engine, self.group + 1) - self.first) % SLICES
 
     def width(self, engines: int, before: int, least: int = SCOPE) -> int:
         """The slices to hold where so many engines are up, if it has held ``before`` of them."""
