Call a ban a manual drain, and look up whether an engine is open without making its member

Named as in the field; on the link between processes and in the admin calls the words stay (ban, banned, down, up), since older processes read them.

--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,4 +1,4 @@
-"""The admin listener on loopback sockets: its calls, the figures against what peers saw, and bans."""
+"""The admin listener on loopback sockets: its calls, the figures against what peers saw, and manual drains."""
 
 from __future__ import annotations
 
@@ -59,7 +59,7 @@
         rig.expect(caller, b"HTTP/1.1 413 ")
     else:
         assert call(rig, method, path, more)[0] == status
-    assert not rig.broker.route.banned
+    assert not rig.broker.route.drained
 
 
 def test_a_broker_without_a_list_or_about_to_end_is_not_ready(rig):
@@ -179,7 +179,7 @@
     attempt = rig.broker.book.tickets[rid].attempt
     other = "s-1" if attempt.engine == "s-0" else "s-0"
     if attempt.reach < 2:
-        rig.broker.route.ban(attempt.engine)
+        rig.broker.route.drain(attempt.engine)
         assert attempt.ended
         rig.expect(rig.accept(other), f"REQ {rid} ".encode())
 
@@ -189,9 +189,9 @@
     _, _, first = rig.begun()
     engine = rig.broker.gateway.engines["s-0"]
     engine.fails, engine.mute, engine.odds, engine.shut_until = 5, True, 0.01, rig.now * 1000 + 8000
-    rig.broker.route.ban("s-0")
+    rig.broker.route.drain("s-0")
     rig.now += 1
-    rig.broker.route.unban("s-0")
+    rig.broker.route.undrain("s-0")
     assert (engine.fails, engine.mute, engine.odds, engine.born) == (0, False, 1.0, rig.now * 1000)
     assert engine.shut_until < 0 and engine.probed_at < 0 and engine.up
     rig.broker.route.take(rig.notice(("s-0", "s-0", "SERVING")))  # with no start told it stays cold
@@ -207,9 +207,9 @@
     found.take(Notice(1, True, (api.EngineEntry("s-0", EngineState.UP),), {"s-0": ("h", 1)}))
     for number in range(route.SEEN_MOST + 50):
         found.remember(f"s-{number}")
-        found.ban(f"s-{number}")
-    assert len(found.gone) <= route.SEEN_MOST and len(found.banned) <= route.BANS_MOST
-    assert "s-0" in found.banned and found.ban("s-0") and not found.ban("s-1") and found.unban("s-0")
+        found.drain(f"s-{number}")
+    assert len(found.gone) <= route.SEEN_MOST and len(found.drained) <= route.DRAINS_MOST
+    assert "s-0" in found.drained and found.drain("s-0") and not found.drain("s-1") and found.undrain("s-0")
     assert taken[1].entries[0].state is EngineState.DRAINING and taken[-1].entries[0].state is EngineState.UP
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -323,7 +323,7 @@
     yield waiting, let
 
 
-@pytest.mark.parametrize("event", ["drains", "gone", "moved", "banned", "leaves", "cancels", "late", "elsewhere"])
+@pytest.mark.parametrize("event", ["drains", "gone", "moved", "by hand", "leaves", "cancels", "late", "elsewhere"])
 @pytest.mark.parametrize("method", ["lookup", "load"])
 def test_what_comes_before_the_first_byte_keeps_the_request_from_going_there(rig, held_up, event, method):
     waiting, let = held_up
@@ -340,8 +340,8 @@
     elif event == "moved":
         rig.listeners["s-9"] = rig._listen()
         broker.route.take(rig.notice(("s-0", "s-9", "SERVING")))
-    elif event == "banned":
-        broker.route.ban("s-0")
+    elif event == "by hand":
+        broker.route.drain("s-0")
     elif event == "leaves":
         client.sock.close()
     elif event == "cancels":
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -1,4 +1,4 @@
-"""Two processes of one broker: the listener passes, bans hold in both, and no fault of the link costs service."""
+"""Two processes of one broker: the listener passes, manual drains hold in both, no fault of the link costs service."""
 
 from __future__ import annotations
 
@@ -156,16 +156,16 @@
 def test_the_list_bans_and_old_ids_pass_on_and_a_ban_holds_in_both(rig, tmp_path):
     rig = rig(3, str(tmp_path / "s"))
     rig.broker.route.take(rig.notice(("s-1", "s-1", "DELETED")))
-    rig.broker.route.ban("s-0")
-    rig.broker.route.ban("s-2")
-    rig.broker.route.unban("s-2")
+    rig.broker.route.drain("s-0")
+    rig.broker.route.drain("s-2")
+    rig.broker.route.undrain("s-2")
     new = rig.successor()
     assert new.gateway.engines["s-2"].born == rig.broker.gateway.engines["s-2"].born  # cold there too
     assert new.route.rev == rig.broker.route.rev and set(new.route.members) == {"s-0", "s-2"}
-    assert new.route.find("s-0") is None and new.route.ban("s-1") and new.route.unban("s-1")
-    new.route.ban("s-2")
+    assert new.route.find("s-0") is None and new.route.drain("s-1") and new.route.undrain("s-1")
+    new.route.drain("s-2")
     rig.until(lambda: rig.broker.route.find("s-2") is None)
-    rig.broker.route.unban("s-0")
+    rig.broker.route.undrain("s-0")
     rig.until(lambda: new.route.find("s-0"))
     assert rig.broker.route.members["s-2"].told.state is EngineState.UP
 
@@ -178,7 +178,7 @@
     for each in rig.brokers:
         each.hot_restart.peers[0]._take({"ban": ["s-0", 1.0]})
         each.hot_restart.peers[0]._take({"ban": ["s-0", None]})
-    assert not told and not new.route.banned
+    assert not told and not new.route.drained
 
 
 def test_limits_hold_for_both_together(rig, tmp_path):
@@ -290,7 +290,7 @@
     third = made.successor()
     assert third.hot_restart.peers and any(peer.successor for peer in new.hot_restart.peers)
     assert not any(peer.successor and not peer.ready for peer in made.broker.hot_restart.peers)
-    third.route.ban("s-0")
+    third.route.drain("s-0")
     made.until(lambda: made.broker.route.find("s-0") is None)  # by way of the second
 
 
@@ -526,7 +526,7 @@
     line = json.dumps({"ban": ["s-0", 1.0]}).encode() + b"\n" + json.dumps({"ban": ["s-0", None]}).encode() + b"\n"
     for at in range(0, len(line), 7):
         peer.take(line[at:at + 7])
-    assert "s-0" not in made.broker.route.banned and not peer.part and "s-0" in made.broker.route.members
+    assert "s-0" not in made.broker.route.drained and not peer.part and "s-0" in made.broker.route.members
     made.broker.hot_restart.limit = 1000
     peer.take(b"x" * 2001)
     assert not made.broker.hot_restart.peers
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -312,8 +312,8 @@
     found = Route(events.append, lambda: 5.0, lambda unix: unix + next(drift) / 1000, made)
     found.take(notice(1, [entry(0, started_ms=7000.0)], complete=True))
     found.take(notice(2, [entry(0, started_ms=7000.0)], complete=True))
-    found.ban("e00000")
-    found.unban("e00000")
+    found.drain("e00000")
+    found.undrain("e00000")
     found.take(notice(3, [entry(0, started_ms=7000.0)]))
     found.take(notice(4, [entry(0, started_ms=7000.0)]))
     starts = [event.entries[0].started_ms for event in events if event.entries]
@@ -345,7 +345,7 @@
         elif draw < 0.8:
             player.take([entry(n, chance.choice(list(EngineState)), zone=chance.choice(ZONES)) for n in some])
         elif draw < 0.9:
-            (player.route.ban if chance.random() < 0.5 else player.route.unban)(f"e{some[0]:05d}")
+            (player.route.drain if chance.random() < 0.5 else player.route.undrain)(f"e{some[0]:05d}")
         else:
             player.route.reach(f"e{some[0]:05d}", chance.choice(list(api.Scope)), 500)
         player.now += chance.choice([0, 100, 1000])
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -310,12 +310,12 @@
 def test_more_bans_than_are_kept_are_told_of(rig, caplog):
     broker = rig().broker
     caplog.set_level("WARNING", logger="umberusher")
-    names = [f"gone-{number}" for number in range(route.BANS_MOST + 1)]
+    names = [f"gone-{number}" for number in range(route.DRAINS_MOST + 1)]
     for name in names:
         broker.route.remember(name)
-        broker.route.ban(name)
-    assert len(broker.route.banned) == route.BANS_MOST and names[0] not in broker.route.banned
-    assert "ban of gone-0, which is not listed, dropped: 1024 are kept" in caplog.text
+        broker.route.drain(name)
+    assert len(broker.route.drained) == route.DRAINS_MOST and names[0] not in broker.route.drained
+    assert "manual drain of gone-0, which is not listed, dropped: 1024 are kept" in caplog.text
 
 
 @pytest.mark.parametrize("command", [["trace", "replay", "none", "--nodes"], ["trace", "replay", "none", "--brokers"],
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -92,15 +92,15 @@
             self._join_gate(self.gate)
         self.discovery = Discovery(self.loop, config.board, lambda: self.route.rev, self._take, config.list_bytes,
                                    Random(f"{config.seed:x} {config.name}"))
-        self.admin = Admin(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.ban, self.route.unban))
+        self.admin = Admin(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.drain, self.route.undrain))
         self.hot_restart = HotRestart(self.loop, path, Side(
             hello=self._hello, listener=lambda: self.front.listener and self.front.listener.sock, use=self._use,
-            known=self._known, rev=lambda: self.route.rev, news=self._take, ban=self._ban,
+            known=self._known, rev=lambda: self.route.rev, news=self._take, drain=self._drain,
             clients=lambda: self.front.clients, come=self.front.come, hold=self._hold,
             teams=lambda: self.gate.later() if self.gate else {},
             teams_told=lambda state: self.gate.take_over(state) if self.gate else None), config.list_bytes)
         self.noticed: tuple[Notice, int] | None = None  # the notice that is being taken, and the number it follows
-        self.route.on_ban = self.hot_restart.tell_ban
+        self.route.on_drain = self.hot_restart.tell_drain
         self.route.on_news = lambda: self.hot_restart.tell_news(*(self.noticed or (None, 0)))
         self.carry: dict[type, Callable[..., None]] = {
             api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self.book.refuse,
@@ -142,7 +142,7 @@
     def stats(self) -> str:
         """The figures, as they stand now."""
         members = self.route.members
-        excluded = (self.gateway.avoided(self.now_ms()) | self.route.banned.keys()) & members.keys()
+        excluded = (self.gateway.avoided(self.now_ms()) | self.route.drained.keys()) & members.keys()
         return figures.text(
             self.book.finals, (cls.name for cls in self.config.settings.classes), self.book.written, {
                 "in_flight": ("Requests taken and not yet ended.", self.book.in_flight),
@@ -239,10 +239,10 @@
         log.info("hot restart: takes over from the process before")
         for notice in taken.known:
             self.route.take(notice)
-        for engine in [*taken.seen, *taken.banned]:
+        for engine in [*taken.seen, *taken.drained]:
             self.route.remember(engine)
-        for engine, since in taken.banned.items():
-            self.route.ban(engine, since)
+        for engine, since in taken.drained.items():
+            self.route.drain(engine, since)
         for engine, since in taken.fresh.items():  # guards cold engines: the board may tell no start of theirs
             self.route.freshen(engine, since)
         if self.gate and taken.teams:
@@ -273,7 +273,7 @@
 
     def _hello(self) -> dict[str, Any]:
         """All but the list; what is listed counts as seen there too."""
-        return {"seen": self.route.once_listed(), "banned": self.route.banned,
+        return {"seen": self.route.once_listed(), "banned": self.route.drained,
                 "fresh": {name: fresh for name, (fresh, _) in self.route.fresh.items()},
                 "teams": self._teams()}
 
@@ -283,12 +283,12 @@
     def _use(self) -> Use:
         return Use(round(self.memory_mb(), 1), len(self.front.clients), self.send.count)
 
-    def _ban(self, engine: str, since: float | None) -> None:
+    def _drain(self, engine: str, since: float | None) -> None:
         if since is None:
-            self.route.unban(engine)
+            self.route.undrain(engine)
         else:
             self.route.remember(engine)
-            self.route.ban(engine, since)
+            self.route.drain(engine, since)
 
     def _hold(self, held: bool) -> None:
         if held or self.stopping_at is None:
--- a/umberusher/deadlines/timeline.py
+++ b/umberusher/deadlines/timeline.py
@@ -1,8 +1,8 @@
 """One timeline: monotonic time that reads like Unix time, and the way between both.
 
 Owns the offset. It is taken once, at the start: from then on a step of the Unix clock neither ends nor extends what is
-open. What is told from outside in Unix time (when an engine started, since when one is banned) is brought over with the
-offset of that moment, so that a step shows there alone.
+open. What is told from outside in Unix time (when an engine started, since when one is drained by hand) is brought over
+with the offset of that moment, so that a step shows there alone.
 """
 
 from __future__ import annotations
--- a/umberusher/hot_restart.py
+++ b/umberusher/hot_restart.py
@@ -3,8 +3,8 @@
 The old one sends one byte that carries the clients' listener and one end of a channel, then ``hello``; after that each
 side sends a JSON line a message: ``reads`` (the newest form of these messages that it knows), ``ready`` (the successor
 accepts from now on), ``notice`` (one of the board, with the number it ``follows``), ``ask`` (the whole list: a notice
-between is missing), ``known`` (the whole list), ``ban`` and ``use``. A process that says no ``reads`` knows no
-``notice`` and is told ``known`` at each change. While the old one leaves, each packet of the channel carries one
+between is missing), ``known`` (the whole list), ``ban`` (a manual drain) and ``use``. A process that says no ``reads``
+knows no ``notice`` and is told ``known`` at each change. While the old one leaves, each packet of the channel carries one
 client's connection; ``answer`` brings what is to be written there, ``leave`` tells that a client waits no more.
 Nothing that goes wrong here may cost service: every fault is one log line.
 """
@@ -31,7 +31,7 @@
 from umberusher.stages.take_in import Client
 
 log = logging.getLogger(__name__)
-MESSAGE_PART = 2  # of the longest list that memory allows, a message: as much again for ids, bans and budgets
+MESSAGE_PART = 2  # of the longest list that memory allows, a message: as much again for ids, manual drains and budgets
 HELLO_S = 1.5  # for a short greeting; the start waits for it
 HELLO_RATE = 2e6  # bytes a second, of a long one: it has so much more time, and one that drips has none
 READS = 2  # the form of the messages that this program knows: 2 has ``notice`` and ``ask``
@@ -64,7 +64,7 @@
     rest: bytes  # what came behind the greeting
     known: list[Notice]
     seen: list[str]
-    banned: dict[str, float]
+    drained: dict[str, float]  # by hand, since when
     fresh: dict[str, float]  # when engines were called back
     teams: dict[str, Any] = field(default_factory=dict)  # budgets, where there are contracts
     reads: int = 1  # the form of messages that the process before knows
@@ -80,7 +80,7 @@
     known: Callable[[], Iterable[str]]  # the whole list, as JSON text in pieces
     rev: Callable[[], int]  # the last notice that was taken
     news: Callable[[Notice], None]
-    ban: Callable[[str, float | None], None]
+    drain: Callable[[str, float | None], None]
     clients: Callable[[], Iterable[Client]]  # the connections that may be passed on
     come: Callable[[socket.socket, list[int], Callable[[int], None]], Client]  # one that was
     teams: Callable[[], dict[str, Any]]
@@ -142,10 +142,10 @@
         if isinstance(known, BoardFault):
             raise ValueError(known.why)
         seen = [str(name) for name in hello["seen"]]
-        banned, fresh = ({str(name): float(ms) for name, ms in hello[part].items()} for part in ("banned", "fresh"))
+        drained, fresh = ({str(name): float(ms) for name, ms in hello[part].items()} for part in ("banned", "fresh"))
         teams = hello.get("teams") if isinstance(hello.get("teams"), dict) else {}  # an older version has none
         listener, channel = [*(socket.socket(fileno=fd) for fd in fds), None][:2]
-        return Taken(listener, channel, link, rest, known, seen, banned, fresh, teams, _reads(hello))
+        return Taken(listener, channel, link, rest, known, seen, drained, fresh, teams, _reads(hello))
     except (FileNotFoundError, ConnectionRefusedError):  # nobody there; a file may lie there still
         link.close()
         return None
@@ -307,7 +307,7 @@
             engine, since = message["ban"]
             self.owner.source = self
             try:
-                self.owner.side.ban(str(engine), None if since is None else float(since))
+                self.owner.side.drain(str(engine), None if since is None else float(since))
             finally:
                 self.owner.source = None
         if "answer" in message:
@@ -480,8 +480,8 @@
         if peer.ready and not self.handed_over:
             self.side.hold(False)
 
-    def tell_ban(self, engine: str, since: float | None) -> None:
-        """A ban has begun or ended here. Guards against an echo: two calls that cross would be told back for ever."""
+    def tell_drain(self, engine: str, since: float | None) -> None:
+        """A manual drain has begun or ended here. Guards against an echo: two calls that cross would go on for ever."""
         for peer in [each for each in self.peers if each is not self.source]:
             peer.tell(ban=[engine, since])
 
--- a/umberusher/membership/directory.py
+++ b/umberusher/membership/directory.py
@@ -28,7 +28,7 @@
 
     engine: str
     address: tuple[str, int]
-    state: EngineState  # as it counts here: a banned engine drains
+    state: EngineState  # as it counts here: one that is drained by hand drains
     told: api.EngineEntry  # the board's newest word
 
 
--- a/umberusher/stages/route.py
+++ b/umberusher/stages/route.py
@@ -14,11 +14,11 @@
 
 log = logging.getLogger(__name__)
 SEEN_MOST = 4_096  # ids once listed, and no longer, that are remembered
-BANS_MOST = 1_024  # bans; over this the oldest one of an engine that is not listed is dropped
+DRAINS_MOST = 1_024  # manual drains; over this the oldest one of an engine that is not listed is dropped
 
 
 class Route:
-    """The list of engines as the notice board has told it, with the operators' bans laid over it.
+    """The list of engines as discovery has told it, with the operators' manual drains laid over it.
 
     All that is listed stands in the directory. The decisions are told of what is in scope.
     """
@@ -30,14 +30,14 @@
         self.members = Directory()
         brokers, place = (settings.gateways or 1, settings.position) if settings else (1, 0)
         self.scope = Scope(self.members, Subset(brokers, place, name), settings.classes if settings else ())
-        self.banned: dict[str, float] = {}  # since when, Unix: the other process of an upgrade has another timeline
+        self.drained: dict[str, float] = {}  # since when, Unix: the other process of an upgrade has another timeline
         self.fresh: dict[str, tuple[float, float]] = {}  # when engines were called back: Unix, and on the own timeline
         self.gone: dict[str, None] = {}  # ids once listed and not listed now, the newest last
         self.rev = 0
         self.on_closed: Callable[[Member], None] = lambda member: None  # nothing new may go there
         self.on_moved: Callable[[Member], None] = lambda member: None  # its connections are not to be used again
         self.on_news: Callable[[], None] = lambda: None  # the list is newer than it was
-        self.on_ban: Callable[[str, float | None], None] = lambda engine, since: None  # a ban has begun or ended
+        self.on_drain: Callable[[str, float | None], None] = lambda engine, since: None  # by hand, begun or ended
 
     def take(self, notice: Notice) -> None:
         """Apply one notice: from here on nothing new goes to what it closes."""
@@ -88,10 +88,10 @@
         self.remember(engine)
 
     def _lay(self, slot: int) -> None:
-        """Have an engine count as the board tells, with its ban laid over that."""
+        """Have an engine count as the board tells, with its manual drain laid over that."""
         members = self.members
-        banned = members.told[slot] == UP and members.ids[slot] in self.banned
-        members.count_as(slot, DRAINING if banned else members.told[slot])
+        drained = members.told[slot] == UP and members.ids[slot] in self.drained
+        members.count_as(slot, DRAINING if drained else members.told[slot])
 
     def _tell(self, touched: Iterable[str], lost: Iterable[str] = (), complete: bool = False) -> None:
         """Tell the decisions what has changed in their scope."""
@@ -137,7 +137,7 @@
         slot = self.members.slots.get(engine)
         return slot is not None and self.members.state[slot] == UP
 
-    # -- Bans
+    # -- Manual drains
 
     def remember(self, engine: str) -> None:
         """Guards memory: ids are always new, so of those that are not listed only the newest are kept."""
@@ -152,22 +152,22 @@
         """Ids that were listed and are not now, the newest last."""
         return list(self.gone)
 
-    def ban(self, engine: str, since_ms: float | None = None) -> bool:
+    def drain(self, engine: str, since_ms: float | None = None) -> bool:
         """Leave an engine out until it is called back, whatever the board tells; False where it was never listed."""
         if engine not in self.members and engine not in self.gone:
             return False
-        if engine in self.banned:
+        if engine in self.drained:
             return True
-        if len(self.banned) >= BANS_MOST:
-            oldest = next((name for name in self.banned if name not in self.members), None)
-            if self.banned.pop(oldest, None) is not None:
-                log.warning("ban of %s, which is not listed, dropped: %d are kept", oldest, BANS_MOST)
-        self.banned[engine] = self.unix_ms() if since_ms is None else since_ms
+        if len(self.drained) >= DRAINS_MOST:
+            oldest = next((name for name in self.drained if name not in self.members), None)
+            if self.drained.pop(oldest, None) is not None:
+                log.warning("manual drain of %s, which is not listed, dropped: %d are kept", oldest, DRAINS_MOST)
+        self.drained[engine] = self.unix_ms() if since_ms is None else since_ms
         if engine in self.members:
             self._lay(self.members.slots[engine])
             self._tell((engine,))
             self.on_closed(self.members[engine])
-        self.on_ban(engine, self.banned[engine])
+        self.on_drain(engine, self.drained[engine])
         return True
 
     def freshen(self, engine: str, fresh_ms: float) -> None:
@@ -176,9 +176,9 @@
             self.fresh[engine] = fresh_ms, self.inward(fresh_ms)
             self._tell((engine,))
 
-    def unban(self, engine: str) -> bool:
+    def undrain(self, engine: str) -> bool:
         """Put an engine back as the board tells of it now; False where it was never listed."""
-        since = self.banned.pop(engine, None)
+        since = self.drained.pop(engine, None)
         if since is None:
             return engine in self.members or engine in self.gone
         slot = self.members.slots.get(engine)
@@ -190,5 +190,5 @@
             self.on_moved(self.members[engine])
             self._lay(slot)
             self._tell((engine,))
-        self.on_ban(engine, None)
+        self.on_drain(engine, None)
         return True
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -570,7 +570,7 @@
         now = self.now_ms()
         for name in [engine] if engine else list(self.links):
             for link in list(self.links.get(name, ())):
-                if engine or link.expiring(now) or self.route.find(name) is None:
+                if engine or link.expiring(now) or not self.route.open(name):
                     self._close_if_idle(link)
 
     def sweep(self) -> None:
