--- a/umberusher/hot_restart.py
+++ b/umberusher/hot_restart.py
@@ -4,8 +4,8 @@
 side sends a JSON line a message: ``reads`` (the newest form of these messages that it knows), ``ready`` (the successor
 accepts from now on), ``notice`` (one of the board, with the number it ``follows``), ``ask`` (the whole list: a notice
 between is missing), ``known`` (the whole list), ``ban`` (a manual drain) and ``use``. A process that says no ``reads``
-knows no ``notice`` and is told ``known`` at each change. While the old one leaves, each packet of the channel carries one
-client's connection; ``answer`` brings what is to be written there, ``leave`` tells that a client waits no more.
+knows no ``notice`` and is told ``known`` at each change. While the old one leaves, each packet of the channel carries
+one client's connection; ``answer`` brings what is to be written there, ``leave`` tells that a client waits no more.
 Nothing that goes wrong here may cost service: every fault is one log line.
 """
 
