--- a/scripts/measure_slow_start.py
+++ b/scripts/measure_slow_start.py
@@ -32,6 +32,10 @@
     "30V": Fleet(30, 8, 4, load=1.2, rules=VARIANT, lost_ms=3000),
     "30few": Fleet(30, 20, 2, load=1.0, lost_ms=3000), "200few": Fleet(200, 40, 4, load=1.0, lost_ms=4500, seconds=7),
     "30idle": Fleet(30, 8, 1, load=1.2, keepalive_ms=4000.0),
+    "200scope": Fleet(200, 560, 40, load=0.8, seconds=4, scoped=True),
+    "60scope": Fleet(60, 400, 8, load=0.15, seconds=4, lost_ms=2000, scoped=True),
+    "60whole": Fleet(60, 400, 8, load=0.15, seconds=4, lost_ms=2000),
+    "200lscope": Fleet(200, 400, 8, load=0.15, seconds=4, lost_ms=2000, scoped=True),
     "200few6": Fleet(200, 40, 4, load=0.8, lost_ms=7000, seconds=10, uneven=8)}
 
 
--- a/tests/fleet_player.py
+++ b/tests/fleet_player.py
@@ -11,10 +11,12 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from umberusher import interface as api
 from umberusher.decide import Gateway
+from umberusher.protocol.board import Notice
+from umberusher.stages.route import Route
 
 CORES, CAPACITY = 8, 0.85
 SAFE, UNSAFE = api.Effect.SAFE, api.Effect.UNSAFE
@@ -40,6 +42,7 @@
     lost_ms: float | None = None  # when all warm engines refuse from then on
     keepalive_ms: float = 15_000.0
     rules: dict[str, float] = field(default_factory=lambda: dict(RULES))
+    scoped: bool = False  # gateways hear of the list by a route each, which tells them of their scope only
 
     def budget(self, at_ms: float) -> float:
         """The calls of a window that begins then, after the start."""
@@ -55,15 +58,28 @@
         classes=tuple(cls for cls, _, _ in MIX), kinds=(api.EngineKind("k", CORES),), gateways=fleet.gateways,
         limits=api.Limits(max_attempts=6, probes=True), rules=api.Rules(**fleet.rules), keepalive_ms=fleet.keepalive_ms)
     gateways = [Gateway(settings, chance.getrandbits(32)) for _ in range(fleet.gateways)]
+    routes = [Route(lambda event, number=number: handle(number, event), lambda: clock, settings=replace(
+        settings, position=number)) for number in range(fleet.gateways)] if fleet.scoped else []
+    clock = 0.0
     start, count = 100_000.0, itertools.count()
     cold, warm = [f"c{n}" for n in range(fleet.cold)], [f"w{n}" for n in range(fleet.warm)]
     held = dict.fromkeys(cold + warm, 0)
     got: dict[str, list[float]] = {name: [] for name in cold}
     requests: dict[str, tuple[api.QueryClass, float]] = {}
     sent: dict[str, int] = {}
-    queue: list[tuple[float, int, int, api.Event | None]] = []
+    queue: list[tuple[float, int, int, api.Event | Notice | None]] = []
 
-    def plan(at: float, number: int, event: api.Event | None) -> None:
+    def handle(number: int, event: api.Event) -> None:
+        for action in gateways[number].handle(clock, event):
+            carry(number, clock, action)
+
+    def listed(names: list[str], rev: int, **more) -> api.EngineList | Notice:
+        found = entries(names, **more)
+        if not fleet.scoped:
+            return api.EngineList(found, complete=rev == 1)
+        return Notice(rev, rev == 1, found, dict.fromkeys(names))
+
+    def plan(at: float, number: int, event: api.Event | Notice | None) -> None:
         heapq.heappush(queue, (at, next(count), number, event))
 
     def entries(names, **more) -> tuple[api.EngineEntry, ...]:
@@ -91,12 +107,16 @@
     weights = [fleet.uneven ** chance.random() for _ in gateways]
     rate = fleet.load * (fleet.warm + fleet.cold) * CAPACITY * CORES / MEAN_WORK  # calls a ms
     gaps = [sum(weights) / weight / rate for weight in weights]
-    for number, gateway in enumerate(gateways):
-        gateway.handle(start - 6000, api.EngineList(entries(warm), complete=True))
+    for number in range(fleet.gateways):
+        plan(start - 6000, number, listed(warm, 1))
         plan(start - 5000 + chance.expovariate(1 / gaps[number]), number, None)
-        plan(start + fleet.told(chance), number, api.EngineList(entries(cold, started_ms=start)))
+        plan(start + fleet.told(chance), number, listed(cold, 2, started_ms=start))
     while queue and queue[0][0] < start + 1000 * fleet.seconds:
         now, _, number, event = heapq.heappop(queue)
+        clock = now
+        if isinstance(event, Notice):
+            routes[number].take(event)
+            continue
         if event is None:  # the next arrival
             plan(now + chance.expovariate(1 / gaps[number]), number, None)
             (cls, _, mean), = chance.choices(MIX, [share for _, share, _ in MIX])
@@ -105,8 +125,7 @@
             event = api.Arrival(name, cls.name, now + cls.deadline_ms, work_ms=work * chance.uniform(0.6, 1.6))
         elif isinstance(event, api.AttemptEnded):
             held[event.engine] -= 1
-        for action in gateways[number].handle(now, event):
-            carry(number, now, action)
+        handle(number, event)
     return got
 
 
