Send past the empty ring, and make an idle connection's queues with their first use

Each message was copied into the outbound ring and out again, though the kernel nearly always takes it at once; each event looked up enum members through their class a dozen times; a ticket's id was a property of a property. A quiet connection held two queues of 760 bytes, five functions of its own and dictionaries of attributes.

--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -43,6 +43,11 @@
     CLOSED = "closed"
 
 
+# Members by name: a look-up through the class costs five times as much, and each event takes a dozen of them.
+CONNECTING, OPEN, ENDING, CLOSED = State
+NOTHING: tuple[()] = ()  # the outbox of a connection that has nothing to say
+
+
 class Message(Protocol):
     """Something to write: made into bytes only when its turn has come."""
 
@@ -69,41 +74,50 @@
         """Nobody asks."""
 
 
+def _unset(*_: object) -> None:
+    """What a hook is that nobody has set: one for all, since most connections are clients' that say nothing."""
+
+
 class Connection:
     """One socket; its owner sets the hooks ``on_up``, ``on_open``, ``on_data``, ``on_closed``, ``on_gone``."""
 
+    __slots__ = ("_ending", "_reading", "fd", "inbound", "loop", "on_closed", "on_data", "on_gone", "on_open", "on_up",
+                 "outbound", "outbox", "paused", "sent", "sock", "state", "waits_since", "writing")
+
     def __init__(self, loop: Loop, sock: socket.socket, state: State, inbound: int, outbound: int) -> None:
         self.loop, self.sock, self.state = loop, sock, state
         self.fd = sock.fileno()
         self.inbound, self.outbound = Ring(inbound), Ring(outbound)
-        self.outbox: deque[Message] = deque()
+        self.outbox: deque[Message] | tuple[()] = NOTHING  # made with the first message, and given back by ``rest``
         self.writing: Message | None = None  # the message that is in the outbound ring
         self.paused = False  # the owner takes no more for now
         self._ending: Timer | None = None  # until when it may be ending
         self.sent = 0  # bytes that the kernel has taken
         self.waits_since: float | None = None  # the loop's time since which the kernel takes nothing
         self._reading = False
-        self.on_up: Callable[[], None] = lambda: None  # it has come up; nothing goes out before this returns
-        self.on_open: Callable[[], None] = lambda: None
-        self.on_data: Callable[[], None] = lambda: None
-        self.on_closed: Callable[[str], None] = lambda why: None  # nothing more is taken from here, nor sent
-        self.on_gone: Callable[[], None] = lambda: None  # one that was ending has given its descriptor back
+        self.on_up: Callable[[], None] = _unset  # it has come up; nothing goes out before this returns
+        self.on_open: Callable[[], None] = _unset
+        self.on_data: Callable[[], None] = _unset
+        self.on_closed: Callable[[str], None] = _unset  # nothing more is taken from here, nor sent
+        self.on_gone: Callable[[], None] = _unset  # one that was ending has given its descriptor back
 
     # -- For the owner
 
     def send(self, message: Message) -> None:
         """Queue a message and write as much as the kernel takes."""
-        if self.state not in (State.CONNECTING, State.OPEN):
+        if self.state not in (CONNECTING, OPEN):
             return
+        if self.outbox is NOTHING:
+            self.outbox = deque()
         self.outbox.append(message)
-        if self.state is State.OPEN:
+        if self.state is OPEN:
             self._flush()
             self._watch()
 
     def ended(self) -> bool:
         """Whether the other side has closed, with nothing left to read; no event may have told of it yet."""
-        if self.state is not State.OPEN:
-            return self.state is State.CLOSED
+        if self.state is not OPEN:
+            return self.state is CLOSED
         try:
             return not self.sock.recv(1, socket.MSG_PEEK)
         except (BlockingIOError, InterruptedError):
@@ -111,6 +125,13 @@
         except OSError:
             return True
 
+    def rest(self) -> None:
+        """Give back what is empty: hundreds of connections may stay open and say nothing."""
+        self.inbound.rest()
+        self.outbound.rest()
+        if not self.outbox:
+            self.outbox = NOTHING
+
     def unread(self) -> bool:
         """Whether bytes lie with the kernel; no event may have told of them yet."""
         try:
@@ -124,7 +145,7 @@
 
     def detach(self) -> None:
         """Let go of the socket without a word to its owner: another process has it now."""
-        self.state = State.CLOSED
+        self.state = CLOSED
         self.loop.forget(self.fd)
         self.sock.close()
 
@@ -141,7 +162,7 @@
 
     def abort(self, why: str) -> None:
         """Close with a reset: what the other machine has not taken yet it never gets."""
-        if self.state is State.OPEN:
+        if self.state is OPEN:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.close(why)
 
@@ -168,10 +189,10 @@
 
         Guards answers that the other side has not read yet against bytes of its that cross the close.
         """
-        if self.state is not State.OPEN:
+        if self.state is not OPEN:
             self.close(why)
             return
-        self.state = State.ENDING
+        self.state = ENDING
         self._ending = self.loop.call_later(within_ms, lambda: self.close("not closed by the other side"))
         self.inbound.skip(len(self.inbound))
         self.on_closed(why)
@@ -180,12 +201,12 @@
 
     def close(self, why: str) -> None:
         """Close now and tell the owner, once."""
-        if self.state is State.CLOSED:
+        if self.state is CLOSED:
             return
-        was, self.state = self.state, State.CLOSED
+        was, self.state = self.state, CLOSED
         self.loop.forget(self.fd)
         self.sock.close()
-        if was is State.ENDING:
+        if was is ENDING:
             self._ending.cancel()
             self.on_gone()
         else:
@@ -195,24 +216,24 @@
 
     def serve(self) -> Coroutine:
         """Move bytes until the connection closes."""
-        if self.state is State.CONNECTING:
-            while self.state is State.CONNECTING:
+        if self.state is CONNECTING:
+            while self.state is CONNECTING:
                 yield Wait(self.fd, WRITE)
                 self._check_up()
-            if self.state is State.OPEN:
+            if self.state is OPEN:
                 self._guard(self.on_open)
                 self._flush()
-        while self.state is State.OPEN:
+        while self.state is OPEN:
             events = yield Wait(self.fd, self._mask())
-            if self.state is State.OPEN and events & WRITE:
+            if self.state is OPEN and events & WRITE:
                 self._flush()
-            if self.state is State.OPEN and events & ~WRITE:
+            if self.state is OPEN and events & ~WRITE:
                 self._read()
-        while self.state is State.ENDING:
+        while self.state is ENDING:
             events = yield Wait(self.fd, self._mask())
-            if self.state is State.ENDING and events & WRITE:
+            if self.state is ENDING and events & WRITE:
                 self._flush()
-            if self.state is State.ENDING and events & ~WRITE:
+            if self.state is ENDING and events & ~WRITE:
                 self._read_out()
 
     def _check_up(self) -> None:
@@ -220,7 +241,7 @@
 
         Guards against an event of a descriptor that was closed and given out again in the same turn of the loop.
         """
-        if self.state is not State.CONNECTING:
+        if self.state is not CONNECTING:
             return
         failed = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if failed:
@@ -231,20 +252,20 @@
         except OSError:
             return
         self._guard(self.on_up)
-        if self.state is State.CONNECTING:
-            self.state = State.OPEN
+        if self.state is CONNECTING:
+            self.state = OPEN
 
     def _mask(self) -> int:
-        if self.state is State.ENDING:
+        if self.state is ENDING:
             read = READ
         elif self.paused:
             read = 0
         else:  # a full ring hides the end that lies behind what is unread
             read = READ if self.inbound.room > 0 else HALF
-        return read | (0 if self.idle else WRITE)
+        return read if self.writing is None and not self.outbox else read | WRITE
 
     def _watch(self) -> None:
-        if self.state in (State.OPEN, State.ENDING) and not self._reading:
+        if self.state in (OPEN, ENDING) and not self._reading:
             self.loop.watch(self.fd, self._mask())
 
     def _read(self) -> bool:
@@ -278,7 +299,7 @@
     def hear(self) -> None:
         """Read what lies with the kernel now, before its event is told of."""
         for _ in range(HEARD_MOST):
-            if self.state is not State.OPEN or self._reading or self.paused or not self.inbound.room:
+            if self.state is not OPEN or self._reading or self.paused or not self.inbound.room:
                 break
             if not self._read():
                 break
@@ -286,7 +307,7 @@
 
     def process(self) -> None:
         """Offer the owner again what it has left in the inbound ring."""
-        if self.state is State.OPEN:
+        if self.state is OPEN:
             self._guard(self.on_data)
             self._watch()
 
@@ -303,7 +324,7 @@
 
     def _flush(self) -> None:
         try:
-            while self.state in (State.OPEN, State.ENDING):
+            while self.state in (OPEN, ENDING):
                 if not len(self.outbound):
                     if self.writing is not None:
                         done, self.writing = self.writing, None
@@ -315,11 +336,14 @@
                     data = message.encode()
                     if not data:
                         continue
-                    if not self.outbound.write(data):
+                    self.writing = message
+                    count = self.outbound.through(self.sock, data)
+                    if count < 0:
                         self.close("a message is larger than the buffer")
                         return
-                    self.writing = message
-                self.sent += self.outbound.flush(self.sock)
+                else:
+                    count = self.outbound.flush(self.sock)
+                self.sent += count
                 self.waits_since = None
         except (BlockingIOError, InterruptedError):
             if self.waits_since is None:
@@ -328,7 +352,7 @@
         except OSError as error:
             self.close(f"write: {errno.errorcode.get(error.errno, error.errno)}")
             return
-        if self.state is State.ENDING and self.idle:
+        if self.state is ENDING and self.idle:
             try:
                 self.sock.shutdown(socket.SHUT_WR)
             except OSError:
@@ -348,11 +372,11 @@
     if failed not in (0, errno.EINPROGRESS):
         sock.close()
         return f"connect: {errno.errorcode.get(failed, failed)}"
-    return Connection(loop, sock, State.CONNECTING, inbound, outbound)
+    return Connection(loop, sock, CONNECTING, inbound, outbound)
 
 
 def accepted(loop: Loop, sock: socket.socket, inbound: int, outbound: int) -> Connection:
     """A connection that a listener has accepted."""
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return Connection(loop, sock, State.OPEN, inbound, outbound)
+    return Connection(loop, sock, OPEN, inbound, outbound)
--- a/umberusher/net/ring.py
+++ b/umberusher/net/ring.py
@@ -11,6 +11,8 @@
 class Ring:
     """Bytes in order, at most ``limit`` of them; grows by doubling as it needs to."""
 
+    __slots__ = ("_data", "_first", "_head", "_size", "limit")
+
     def __init__(self, limit: int, first: int = FIRST) -> None:
         self.limit = limit
         self._first = min(first, limit)
@@ -52,23 +54,44 @@
 
     def write(self, data: bytes) -> bool:
         """Append all of ``data``; False, and nothing taken, where it does not fit."""
-        if len(data) > self.room:
+        size = len(data)
+        if size > self.limit - self._size:
             return False
-        self._reserve(self._size + len(data))
+        self._reserve(self._size + size)
         at = 0
-        for low, high in self._spans(self._head + self._size, len(data)):
+        for low, high in self._spans(self._head + self._size, size):
             self._data[low:high] = data[at:at + high - low]
             at += high - low
-        self._size += len(data)
+        self._size += size
         return True
 
+    def through(self, sock: socket.socket, data: bytes) -> int:
+        """Write to a socket once past the ring, which is empty, and append what is not taken; -1 where it won't fit.
+
+        What the kernel takes at once, as nearly all answers and requests, is not copied first. Where the kernel takes
+        nothing all of it is appended, and its BlockingIOError goes on.
+        """
+        if len(data) > self.limit:
+            return -1
+        try:
+            count = sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            self.write(data)
+            raise
+        if count < len(data):
+            self.write(data[count:])
+        return count
+
     def fill(self, sock: socket.socket) -> int:
         """Read from a socket once; 0 at its end, and only where there is room for more."""
         if self._size == len(self._data):
             self._reserve(max(self._size + 1, self._first))
-        low, high = self._spans(self._head + self._size, len(self._data) - self._size)[0]
-        with memoryview(self._data) as view:
-            count = sock.recv_into(view[low:high])
+        if not self._size:  # then it begins at the start, and all of it is one stretch
+            count = sock.recv_into(self._data)
+        else:
+            low, high = self._spans(self._head + self._size, len(self._data) - self._size)[0]
+            with memoryview(self._data) as view:
+                count = sock.recv_into(view[low:high])
         self._size += count
         return count
 
@@ -82,6 +105,9 @@
 
     def peek(self, size: int, start: int = 0) -> bytes:
         """A copy of ``size`` bytes from ``start`` on, left in place."""
+        low = self._head + start
+        if low + size <= len(self._data):  # nearly always: a ring that has run empty begins at its start again
+            return bytes(self._data[low:low + size])
         return b"".join(self._data[low:high] for low, high in self._spans(self._head + start, size))
 
     def skip(self, size: int) -> None:
@@ -94,7 +120,7 @@
                 self._data = bytearray(self._first)
 
     def rest(self) -> None:
-        """Give back what an empty ring holds: hundreds of connections may stay open and say nothing."""
+        """Give back what an empty ring holds."""
         if not self._size and len(self._data) > BARE:
             self._data, self._head = bytearray(min(BARE, self.limit)), 0
 
@@ -107,8 +133,7 @@
     def find(self, mark: bytes, limit: int) -> int:
         """Where ``mark`` first stands within the first ``limit`` bytes, or -1."""
         size = min(self._size, limit)
-        spans = self._spans(self._head, size)
-        if len(spans) == 1:
-            at = self._data.find(mark, *spans[0])
-            return at - spans[0][0] if at >= 0 else -1
+        if self._head + size <= len(self._data):
+            at = self._data.find(mark, self._head, self._head + size)
+            return at - self._head if at >= 0 else -1
         return self.peek(size).find(mark)
--- a/umberusher/stages/send.py
+++ b/umberusher/stages/send.py
@@ -524,8 +524,8 @@
         now = self.now_ms()
         while links := [link for link in self.links.get(member.engine, ()) if link.usable(rid, now, unsafe)]:
             # A probe goes first where something given up may lie unread: its answer is what tells.
-            link = min(links, key=lambda link: (link.conn.state is not State.OPEN,
-                                                unsafe is None and link.doubt_ms is None, len(link.attempts)))
+            link = links[0] if len(links) == 1 else min(links, key=lambda link: (
+                link.conn.state is not State.OPEN, unsafe is None and link.doubt_ms is None, len(link.attempts)))
             if not link.conn.ended():
                 return link
             link.conn.close("ended by the engine")
--- a/umberusher/stages/take_in.py
+++ b/umberusher/stages/take_in.py
@@ -103,6 +103,7 @@
         self.classes = {cls.name: cls for cls in settings.classes}
         self.memory_most = MEMORY_MOST * max((kind.memory_mb or LARGEST_MB for kind in settings.kinds),
                                               default=LARGEST_MB)
+        self.numbers = {name: self.ranges(cls) for name, cls in self.classes.items()}  # of each class
 
     def ranges(self, cls: api.QueryClass) -> tuple[tuple[str, float, float], ...]:
         """Each number's name with its least and its most."""
@@ -120,11 +121,15 @@
     if cls is None:
         return "field method must name a class"
     numbers: dict[str, float | None] = {}
-    for name, low, high in form.ranges(cls):
-        if name in fields and not NUMBER.fullmatch(fields[name]):
+    for name, low, high in form.numbers[method]:
+        text = fields.get(name)
+        if text is None:
+            numbers[name] = None
+            continue
+        if not NUMBER.fullmatch(text):
             return f"field {name} must be a number"
-        numbers[name] = float(fields[name]) if name in fields else None
-        if numbers[name] is not None and not low <= numbers[name] <= high:
+        number = numbers[name] = float(text)
+        if not low <= number <= high:
             return f"field {name} is out of range"
     if numbers["budget"] is None:
         return "field budget is missing"
@@ -144,6 +149,9 @@
                   token=fields.get("token", ""))
 
 
+Waiting = tuple[float, thrift.Execute | thrift.Check | thrift.Malformed]  # when a call came, and the call
+
+
 class Abroad:
     """A call that the process before has taken and answers."""
 
@@ -156,6 +164,9 @@
 class Client:
     """One client's connection with its open calls."""
 
+    __slots__ = ("asked", "away", "conn", "credit", "front", "going_on", "half_ms", "open", "origin", "used_ms",
+                 "waiting", "waiting_size")
+
     def __init__(self, front: TakeIn, conn: Connection) -> None:
         self.front, self.conn = front, conn
         self.open: dict[int, Ticket | Abroad] = {}
@@ -165,13 +176,12 @@
         # Calls that count for the retry budget before they are served. Guards it against clients that ask by the
         # hundred for what no engine serves: what one asks widens it in step with what it has been served.
         self.credit = 0
-        self.waiting: deque[tuple[float, thrift.Execute | thrift.Check | thrift.Malformed]] = deque()  # when each came
+        self.waiting: deque[Waiting] | tuple[()] = ()  # made with the first that waits: most clients never have one
         self.waiting_size = 0
         self.going_on = False  # a turn for them is planned
         self.origin = front.origin(conn) if front.origin else None
         self.half_ms: float | None = self.used_ms  # since when a call, or the first one, is waited for
         conn.on_data, conn.on_closed = self._data, self._closed
-        conn.on_gone = lambda: front.ending.pop(conn, None)
 
     @property
     def clogged(self) -> bool:
@@ -205,6 +215,8 @@
             if isinstance(call, thrift.Interrupt):
                 self._interrupt(call.target)
             elif self.clogged:
+                if not self.waiting:
+                    self.waiting = deque()
                 self.waiting.append((self.front.arrived_ms(), call))
                 self.waiting_size += self._size(call)
             else:
@@ -252,8 +264,7 @@
         """Why this connection has been waited for long enough; empty where it has not."""
         quiet = now_ms - self.used_ms
         if quiet > REST_MS:
-            self.conn.inbound.rest()
-            self.conn.outbound.rest()
+            self.conn.rest()
         if not self.conn.idle:
             return "takes no answers" if quiet > UNREAD_MS else ""
         if self.open:
@@ -370,11 +381,15 @@
         self.front.large.discard(self)
         if self.conn.state is State.ENDING:
             self.front.ending[self.conn] = None
-        self.waiting.clear()
+            self.conn.on_gone = self._gone
+        self.waiting = ()
         left, self.open = list(self.open.values()), {}
         for each in left:
             self._leave(each)
 
+    def _gone(self) -> None:
+        self.front.ending.pop(self.conn, None)
+
 
 class TakeIn:
     """The listener and its clients."""
--- a/umberusher/ticket.py
+++ b/umberusher/ticket.py
@@ -77,6 +77,7 @@
 class Ticket:
     """A request that the broker has taken and owes one final answer for."""
 
+    rid: str = field(init=False)  # its id
     arrival: api.Arrival
     statement: bytes
     caller: Caller
@@ -94,10 +95,9 @@
     took_ms: float = 0.0  # at engines, times threads
     spent: dict[str, float] | None = None  # parts of the time of attempts that brought no result
 
-    @property
-    def rid(self) -> str:
-        """Its id."""
-        return self.arrival.request
+    def __post_init__(self) -> None:
+        """Its id is looked at a dozen times."""
+        self.rid = self.arrival.request
 
 
 @dataclass(slots=True, eq=False)
