Say in the log how much of a long list is in scope, and hand a notice on with its number

An operator could not see that a broker uses a part of its list. The route tells its hook which notice it took and on top of which number; the broker noted both in a field around each call for that. 268 tests of lists, route, hot restart, admin and scale pass.

--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -451,7 +451,7 @@
     asked, whole = told_in(monkeypatch), []
     known = made.broker.hot_restart.side.known
     made.broker.hot_restart.side.known = lambda: (whole.append(made.broker.route.rev), known())[1]
-    on_news, made.broker.route.on_news = made.broker.route.on_news, lambda: None
+    on_news, made.broker.route.on_news = made.broker.route.on_news, lambda *_: None
     made.news(("e-00001", "s-0", "DRAINING"))  # which the successor is not told
     made.broker.route.on_news = on_news
     for number in (2, 3, 4):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -367,5 +367,18 @@
     assert made.put(entry(2), None, 0.0)[0] == slot and made.begun[slot] == 0.0 and len(made) == 1
 
 
+def test_the_log_tells_how_much_of_a_long_list_is_in_scope(rig, caplog):
+    caplog.set_level("INFO", logger="umberusher.broker")
+    rig = rig(0)
+    broker = rig.broker
+    broker.route = broker.send.route = Player(settings(2100, 9)).route
+    broker.route.post = broker.post
+    broker.route.take(notice(1, map(entry, range(4000)), complete=True))
+    rig.later(200)
+    line, = [r.getMessage() for r in caplog.records if r.getMessage().startswith("ready")]
+    assert line.endswith(f"with 4000 engines, {len(broker.gateway.engines)} of them in scope")
+    assert len(broker.gateway.engines) < 2 * SCOPE
+
+
 def test_a_class_that_names_nothing_asks_for_nothing():
     assert scoping.asked_of([LOOKUP]) == []
--- a/umberusher/broker.py
+++ b/umberusher/broker.py
@@ -20,7 +20,7 @@
 from umberusher.discovery import Discovery
 from umberusher.hot_restart import HotRestart, Side, Taken, Use, take_over
 from umberusher.net.loop import Loop
-from umberusher.protocol.board import Notice, document
+from umberusher.protocol.board import document
 from umberusher.stages.admit import Admit
 from umberusher.stages.book import Book
 from umberusher.stages.relay import Relay
@@ -90,18 +90,16 @@
                             descriptors - for_engines, Form(config.settings), config.memory_mb)
         if self.gate:
             self._join_gate(self.gate)
-        self.discovery = Discovery(self.loop, config.board, lambda: self.route.rev, self._take, config.list_bytes,
+        self.discovery = Discovery(self.loop, config.board, lambda: self.route.rev, self.route.take, config.list_bytes,
                                    Random(f"{config.seed:x} {config.name}"))
         self.admin = Admin(self.loop, self.now_ms, Desk(self.ready, self.stats, self.route.drain, self.route.undrain))
         self.hot_restart = HotRestart(self.loop, path, Side(
             hello=self._hello, listener=lambda: self.front.listener and self.front.listener.sock, use=self._use,
-            known=self._known, rev=lambda: self.route.rev, news=self._take, drain=self._drain,
+            known=self._known, rev=lambda: self.route.rev, news=self.route.take, drain=self._drain,
             clients=lambda: self.front.clients, come=self.front.come, hold=self._hold,
             teams=lambda: self.gate.later() if self.gate else {},
             teams_told=lambda state: self.gate.take_over(state) if self.gate else None), config.list_bytes)
-        self.noticed: tuple[Notice, int] | None = None  # the notice that is being taken, and the number it follows
-        self.route.on_drain = self.hot_restart.tell_drain
-        self.route.on_news = lambda: self.hot_restart.tell_news(*(self.noticed or (None, 0)))
+        self.route.on_drain, self.route.on_news = self.hot_restart.tell_drain, self.hot_restart.tell_news
         self.carry: dict[type, Callable[..., None]] = {
             api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self.book.refuse,
             api.Fail: self.book.fail, api.Probe: lambda a: self.send.probe(a.engine),
@@ -128,7 +126,8 @@
         if self.told_start == "ready" or self.stopping_at is not None:
             return
         if self.good():
-            log.info("ready after %.1f s with %d engines%s", passed, len(self.route.members),
+            held = "" if self.route.scope.whole else f", {len(self.gateway.engines)} of them in scope"
+            log.info("ready after %.1f s with %d engines%s%s", passed, len(self.route.members), held,
                      "" if self.discovery.heard else f": the notice board at {self.discovery.address} says nothing")
             self.told_start = "ready"
         elif passed > FRESH_S and not self.told_start:
@@ -260,14 +259,6 @@
 
     # -- For the peers of an upgrade
 
-    def _take(self, notice: Notice) -> None:
-        """Take a notice; the other processes are told just this one."""
-        self.noticed = notice, self.route.rev
-        try:
-            self.route.take(notice)
-        finally:
-            self.noticed = None
-
     def _known(self) -> Iterator[str]:
         return document(self.route.rev, ((each.told, each.address) for each in self.route.members.values()))
 
--- a/umberusher/hot_restart.py
+++ b/umberusher/hot_restart.py
@@ -246,11 +246,11 @@
         for piece in message:
             self.conn.send(Raw(piece))
 
-    def tell_notice(self, notice: Notice | None, follows: int) -> None:
+    def tell_notice(self, notice: Notice, follows: int) -> None:
         """Tell what the board has told, to a process that has all up to the number it follows, or asks."""
         if self.owed:  # the whole list will have it
             return
-        if self.reads < 2 or notice is None or notice.complete or len(self.conn.outbox) > QUEUED_MOST:
+        if self.reads < 2 or notice.complete or len(self.conn.outbox) > QUEUED_MOST:
             self.owe()
             return
         told = ((entry, notice.addresses[entry.engine]) for entry in notice.entries)
@@ -485,8 +485,8 @@
         for peer in [each for each in self.peers if each is not self.source]:
             peer.tell(ban=[engine, since])
 
-    def tell_news(self, notice: Notice | None, follows: int) -> None:
-        """A notice was taken on top of that number; None where only the list is there to tell.
+    def tell_news(self, notice: Notice, follows: int) -> None:
+        """A notice was taken on top of that number.
 
         Guards drains: a board that has moved or fallen silent for one process may tell another.
         """
--- a/umberusher/stages/route.py
+++ b/umberusher/stages/route.py
@@ -36,14 +36,14 @@
         self.rev = 0
         self.on_closed: Callable[[Member], None] = lambda member: None  # nothing new may go there
         self.on_moved: Callable[[Member], None] = lambda member: None  # its connections are not to be used again
-        self.on_news: Callable[[], None] = lambda: None  # the list is newer than it was
+        self.on_news: Callable[[Notice, int], None] = lambda notice, follows: None  # it was taken on top of that number
         self.on_drain: Callable[[str, float | None], None] = lambda engine, since: None  # by hand, begun or ended
 
     def take(self, notice: Notice) -> None:
         """Apply one notice: from here on nothing new goes to what it closes."""
         if notice.rev <= self.rev:
             return
-        self.rev = notice.rev
+        follows, self.rev = self.rev, notice.rev
         if notice.skipped:
             log.warning("notice %d: %d entries could not be read", notice.rev, notice.skipped)
         closed: list[Member] = []
@@ -60,7 +60,7 @@
         self._tell(touched, lost, notice.complete)
         for member in closed:
             self.on_closed(member)
-        self.on_news()
+        self.on_news(notice, follows)
 
     def _apply(self, entry: api.EngineEntry, address: tuple[str, int] | None, closed: list[Member],
                lost: list[str]) -> None:
