--- a/scripts/measure_cost.py
+++ b/scripts/measure_cost.py
@@ -399,6 +399,8 @@
     parser.add_argument("--rounds", type=int, default=5)
     parser.add_argument("--requests", type=int, default=6_000)
     parser.add_argument("--rate", type=float, default=250.0)
+    parser.add_argument("--engines", type=int, default=6, help="stand-in nodes behind the list (6)")
+    parser.add_argument("--brokers", type=int, default=1, help="as many as a broker is told that they are (1)")
     parser.add_argument("--more", default="", help="options of serve for this version")
     parser.add_argument("--closed", action="store_true", help="a closed loop before instant stand-ins")
     parser.add_argument("--clients", type=int, nargs="+", default=[16])
@@ -428,7 +430,8 @@
             keep(args, "idle-connection", "memory of a broker's own for a quiet client connection", "connections",
                  "bytes", points)
         return 0
-    found = turn_about(args, lambda root, more: play(root, more, args.requests, args.rate))
+    found = turn_about(args, lambda root, more: play(root, more, args.requests, args.rate, args.engines,
+                                                       args.brokers))
     compare(found, ("cpu_us", "p50_ms", "p99_ms"))
     return 0
 
