Say what the size to plan with asks of each role, and check the page against its runs

Cause: 2,100 brokers before 32,000 databases decide the design from now on, and nothing said what each role needs there, or how that is known. Change: umberusher/capacity: units, the plan, sums that keep what ran, what is summed and what is extrapolated apart, roles, tables, the page. capacity show makes the tables of docs/CAPACITY.md; capacity check fails where the page is not what measurements and plan give, and names the budgets that are passed.

--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -109,7 +109,19 @@
     "statement": ("contract_statement", "promised, used, refused and its worth in a period, from brokers' logs", (
         _CONTRACT, _o("logs", nargs="+", metavar="LOG"), _o("--json", metavar="OUT"), _o("--plot", metavar="OUT"))),
 }
-GROUPS = {"contract": ("teams and what each was promised", CONTRACT),
+_SIZE = (
+    _o("--plan", default="deploy/capacity/size-to-plan-with.star", metavar="SIZE.star",
+       help="the numbers to plan with"),
+    _o("--measurements", default="measurements", metavar="DIR"))
+CAPACITY: dict[str, tuple[str, str, tuple[Option, ...]]] = {
+    "show": ("capacity_show", "what each role needs at the size, its budget, and what carries it", (
+        *_SIZE, _o("--role", metavar="NAME", help="one table alone"),
+        _o("--write", metavar="PAGE", help="make the tables of that page anew"))),
+    "check": ("capacity_check", "whether the page is what the committed measurements give; names the budgets passed", (
+        *_SIZE, _o("--page", default="docs/CAPACITY.md", metavar="PAGE"))),
+}
+GROUPS = {"capacity": ("the size to plan with, and what it asks of each role", CAPACITY),
+          "contract": ("teams and what each was promised", CONTRACT),
           "trace": ("read, compile and replay published cluster traces", TRACE),
           "deadlines": ("what became of requests' time", DEADLINES)}
 
--- /dev/null
+++ b/umberusher/commands/capacity.py
@@ -0,0 +1,72 @@
+"""What capacity's commands share: the plan, the measurements and the page as files, and the program's constants."""
+
+from __future__ import annotations
+
+import argparse
+import json
+from pathlib import Path
+
+from umberusher import decide, discovery
+from umberusher.capacity import plan as plans
+from umberusher.capacity.plan import Plan, PlanError
+from umberusher.capacity.roles import BEFORE, ROLES
+from umberusher.capacity.slopes import Measurement, measurement
+from umberusher.capacity.sums import Sums
+from umberusher.capacity.tables import Line, tables
+from umberusher.capacity.units import Quantity, UnitError
+from umberusher.errors import UsageError
+from umberusher.stages import route
+from umberusher.traces.scripts import Script, ScriptError
+
+PROGRAM = {  # the program's own constants: a page that tells of one is renewed with it
+    "poll_linger": Quantity.of(discovery.LINGER_MS, "ms"),
+    "silent": Quantity.of(discovery.SILENT_MS, "ms"),
+    "retry_most": Quantity.of(discovery.RETRY_MOST_MS, "ms"),
+    "ids_remembered": Quantity.of(route.SEEN_MOST, "id/broker"),
+    "probe_every": Quantity.of(decide.PROBE_MS, "ms"),
+    "probes": Quantity.of(decide.PROBE_RATE, "probe/statement"),
+    "ejected_most": Quantity.of(decide.BACKOFF_MAX_MS, "ms"),
+}
+
+
+def plan(path: str) -> Plan:
+    """The numbers to plan with; PlanError by file, line and field."""
+    try:
+        script = Script.load(path, prelude=plans.PRELUDE, values=("size",))
+    except ScriptError as error:
+        raise PlanError(str(error)) from None
+    return plans.plan(script.name, script.text, script.get("size"))
+
+
+def measured(folder: str) -> tuple[dict[str, Measurement], list[str]]:
+    """All measurements that are kept, by their files' names, and a line for each file that is none."""
+    found, wrong = {}, []
+    for path in sorted(Path(folder).glob("*.json")):
+        try:
+            one = measurement(json.loads(path.read_text(encoding="utf-8")), str(path))
+            if one.name != path.name.split(".")[0]:
+                raise ValueError(f"{path}: name: is {one.name!r}, and the file has another")
+            found[path.name.removesuffix(".json")] = one
+        except (OSError, ValueError) as error:  # of json too
+            told = str(error) if str(error).startswith(str(path)) else f"{path}: {error}"
+            wrong.append(told.splitlines()[0])
+    return found, wrong
+
+
+def text(path: str) -> str:
+    """A page; UsageError where it can't be read."""
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise UsageError(f"{path}: {getattr(error, 'strerror', None) or 'not text'}") from None
+
+
+def summed(args: argparse.Namespace) -> tuple[Sums, dict[str, list[str]], list[Line], list[str]]:
+    """Sums, tables, their lines, and what is wrong with the measurements' files; UsageError for a wrong unit."""
+    found, wrong = measured(args.measurements)
+    sums = Sums(plan(args.plan), PROGRAM, found)
+    try:
+        made, lines = tables(ROLES, sums, BEFORE)
+    except UnitError as error:
+        raise UsageError(f"{args.measurements}: {error}") from None
+    return sums, made, lines, wrong
