--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -120,8 +120,16 @@
     "check": ("capacity_check", "whether the page is what the committed measurements give; names the budgets passed", (
         *_SIZE, _o("--page", default="docs/CAPACITY.md", metavar="PAGE"))),
 }
+SCALE: dict[str, tuple[str, str, tuple[Option, ...]]] = {
+    "run": ("scale_run", "play a fleet's bad moments with hollow brokers, engines and control machines", (
+        _PLAN, _o("--seed", type=int, help="in place of the plan's"), _o("--workers", type=int, help="processes"),
+        _o("--name", metavar="NAME", help="of the result (the plan's file name)"),
+        _o("--only", choices=["hollow", "real"], help="the scenes on the step clock, or the real brokers"),
+        _o("--json", metavar="OUT"), _o("--plot", metavar="OUT", help="SVG"), _LOG)),
+}
 GROUPS = {"capacity": ("the size to plan with, and what it asks of each role", CAPACITY),
           "contract": ("teams and what each was promised", CONTRACT),
+          "scale": ("the size to plan with, played on one machine", SCALE),
           "trace": ("read, compile and replay published cluster traces", TRACE),
           "deadlines": ("what became of requests' time", DEADLINES)}
 
