Read scale runs for the capacity page, by scene and only at the size

Cause: the page has to say what all brokers together do in each scene. Change: plays reads a scale run's figures, refuses one whose digest is not that of its figures, and marks what hollow brokers played on the step clock apart from what ran. A role for the fleet; engine and primary have lines of it.

--- /dev/null
+++ b/umberusher/capacity/plays.py
@@ -0,0 +1,48 @@
+"""A scale run's record beside its outer form: the figures of each scene, and whether they are what was played.
+
+Owns the record's checks. On the step clock a run's digest is that of its figures: one that was changed by hand shows.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from umberusher.scale.figures import digest
+
+REAL = "real"  # the scene of real brokers: on the wall clock, and not in the digest
+
+
+@dataclass(slots=True, frozen=True)
+class Play:
+    """The figures of a run, by ``scene: name``, each with its unit, and the size it was played at."""
+
+    figures: Mapping[str, tuple[float, str]]
+    brokers: float
+    engines: float
+
+
+def play(raw: Mapping[str, Any], where: str) -> Play:
+    """The figures of a record; ValueError of one line "file: field: what is wrong" where it isn't one."""
+    figures, size = raw.get("figures"), raw.get("size")
+    if not isinstance(figures, Mapping) or not isinstance(size, Mapping):
+        raise ValueError(f"{where}: figures: must stand beside the size that was played")
+    found: dict[str, tuple[float, str]] = {}
+    scenes: dict[str, dict[str, Any]] = {}
+    for name, each in figures.items():
+        value, unit = (each.get("value"), each.get("unit")) if isinstance(each, Mapping) else (None, None)
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value) or \
+                not isinstance(unit, str):
+            raise ValueError(f"{where}: figures: {name!r} must be a number with its unit")
+        scene, _, what = name.partition(": ")
+        if scene != REAL:
+            scenes.setdefault(scene, {})[what] = each
+        found[name] = float(value), unit
+    if scenes and digest(scenes) != raw.get("digest"):
+        raise ValueError(f"{where}: digest: is {raw.get('digest')!r}, the figures give {digest(scenes)!r}")
+    try:
+        return Play(found, float(size["brokers"]), float(size["engines"]))
+    except (KeyError, TypeError, ValueError):
+        raise ValueError(f"{where}: size: must name brokers and engines") from None
--- a/umberusher/capacity/roles.py
+++ b/umberusher/capacity/roles.py
@@ -8,7 +8,8 @@
 
 from collections.abc import Callable
 
-from umberusher.capacity.sums import Estimate, Reading, Sums, least
+from umberusher.capacity.plays import REAL
+from umberusher.capacity.sums import Estimate, Reading, Seen, Sums, least
 from umberusher.capacity.tables import Item, Role
 from umberusher.capacity.units import Quantity
 
@@ -31,6 +32,7 @@
 READY = Reading("broker-start-ready", LISTED, "s", "s")
 START_CPU = Reading("broker-start-cpu", LISTED, "s", "core s/broker")
 START_BYTES = Reading("broker-start-bytes", LISTED, "B", "B/broker")
+SUCCESSOR = Reading("hot-restart-ready", LISTED, "s", "s")
 LUMP_CPU = Reading("broker-lump-cpu", ENTRIES, "ms", "core ms/broker")
 STALL = Reading("broker-lump-stall-32000", ENTRIES, "ms", "ms")
 MODULE = Reading("module-arrival-cpu", "engines told", "us", "core us/statement")
@@ -125,6 +127,16 @@
     return lambda s: s.cost(reading, s.plan.engines) / s.cost(reading, s.plan.engines_compared)
 
 
+def played(scene: str, figure: str, raw: str, unit: str, run: str = "scale-fleet") -> Callable[[Sums], Estimate]:
+    """A figure of a scale run."""
+    return lambda s: s.seen(Seen(run, f"{scene}: {figure}", raw, unit))
+
+
+def real(figure: str, raw: str, unit: str) -> Callable[[Sums], Estimate]:
+    """A figure of real brokers in a scale run."""
+    return played(REAL, figure, raw, unit, "scale-real")
+
+
 def listed(reading: Reading) -> Callable[[Sums], Estimate]:
     """What is measured with as many engines listed as the size has."""
     return lambda s: s.cost(reading, s.plan.engines)
@@ -134,7 +146,13 @@
 DIRECTORY = "directory in columns (`umberusher/membership/directory.py`)"
 SCOPE = "scope (`umberusher/membership/scope.py`)"
 POLL = "long poll (`umberusher/discovery.py`)"
+DRAINS = "drains (`Route.find`)"
+WHOLE = "one thread: a change is taken whole"
+CHANGE_GOES = "work for a change that goes with the change"
+LIST_HELD = "a list that is fetched once and can be held"
 PIECES = "a list in pieces or compressed, or a zone's change told as one: not in the protocol"
+ADDRESSES = "more than one address of discovery in the configuration"
+ADDRESSES_ASKED = "their address is asked again (`umberusher/discovery.py`)"
 CHOICE = "choice by load reports (`decide.py`)"
 LOOKS = "a look a second at each that is held (`Gateway._probe`)"
 SECOND_LOOP = "a second loop a broker, or more brokers"
@@ -159,11 +177,11 @@
     Item(MESSAGES, ANEW, "time of the first list at no more than a broker's bytes for control", "s",
          lambda s: s.cost(LIST_BYTES, s.plan.engines) / s.plan.control_bytes, "ready_within", "", PIECES),
     Item(PROCESSOR, ORDINARY, "for control, in all", "% core/broker", listed(CONTROL), "control_processor", DIRECTORY,
-         "work for a change that goes with the change"),
+         CHANGE_GOES),
     Item(PROCESSOR, ORDINARY, "a change of one entry, list and decisions", "core us/change/broker", listed(CHANGE),
          carried=DIRECTORY),
     Item(PROCESSOR, ORDINARY, "a change of one entry, over one with 1,000 listed", "times", ratio(CHANGE),
-         "change_ratio", DIRECTORY, "work for a change that goes with the change"),
+         "change_ratio", DIRECTORY, CHANGE_GOES),
     Item(PROCESSOR, ORDINARY, "an arrival, decisions alone, 1,600 a second", "core us/statement", listed(ARRIVAL),
          carried=SCOPE),
     Item(PROCESSOR, ORDINARY, "an arrival, over one with 1,000 listed", "times", ratio(ARRIVAL), "arrival_ratio", SCOPE,
@@ -180,9 +198,9 @@
     Item(PROCESSOR, ZONE, "its changes", "core ms/broker", lambda s: s.cost(LUMP_CPU, zone(s)), carried=DIRECTORY),
     Item(PROCESSOR, LUMP, "a day's changes, all in lumps, spread over the day", "% core/broker",
          lambda s: s.cost(LUMP_CPU, s.plan.lump) * lumps(s), "control_processor", DIRECTORY,
-         "work for a change that goes with the change"),
+         CHANGE_GOES),
     Item(TIME, LUMP, "a check's longest wait for its answer", "ms", lambda s: s.cost(STALL, s.plan.lump),
-         carried="one thread: a change is taken whole"),
+         carried=WHOLE),
     Item(PROCESSOR, APART, "the changes missed", "core ms/broker", lambda s: s.cost(LUMP_CPU, missed(s)),
          carried=DIRECTORY),
     Item(PROCESSOR, ANEW, "the first list, list and decisions", "core ms/broker", listed(FIRST_LIST),
@@ -192,8 +210,28 @@
          "control_memory", DIRECTORY, "a directory that is smaller"),
     Item(MEMORY, ORDINARY, "its client connections, all quiet, beside that", "MB/broker",
          lambda s: s.cost(IDLE, clients(s) * A_BROKER), carried="buffers given back while quiet"),
-    Item(TIME, ANEW, "until it is ready", "s", listed(READY), "ready_within", POLL,
-         "a list that is fetched once and can be held"),
+    Item(TIME, ANEW, "until it is ready", "s", listed(READY), "ready_within", POLL, LIST_HELD),
+    Item(TIME, ANEW, "until it is ready, four at once, largest", "s",
+         real("real broker ready after, largest", "s", "s"), "ready_within", POLL, LIST_HELD),
+    Item(PROCESSOR, ORDINARY, "for control, four at once, largest", "% core/broker",
+         real("ordinary changes: a real broker's processor time, largest", "% of a core", "% core/broker"),
+         "control_processor", DIRECTORY, CHANGE_GOES),
+    Item(MESSAGES, ORDINARY, "bytes of discovery, four at once, largest", "KB/s/broker",
+         real("ordinary changes: a real broker's control bytes", "KB/s", "KB/s/broker"), "control_bytes", POLL, PIECES),
+    Item(MEMORY, ORDINARY, "less what is shared, four at once, largest", "MB/broker",
+         real("ordinary changes: a real broker's memory, largest", "MB", "MB/broker"), "control_memory", DIRECTORY,
+         "a directory that is smaller"),
+    Item(PROCESSOR, LUMP, "for control in all, four at once", "core s/broker",
+         real("a lump: a real broker's processor time in all", "s", "core s/broker"), carried=DIRECTORY),
+    Item(MEMORY, LUMP, "less what is shared, four at once, largest", "MB/broker",
+         real("a lump: a real broker's memory, largest", "MB", "MB/broker"), "control_memory", DIRECTORY,
+         "a directory that is smaller"),
+    Item(TIME, LUMP, "until it is in force, four at once, largest", "s", real("a lump: in force, largest", "s", "s"),
+         "in_force_within", POLL, PIECES),
+    Item(TIME, ORDINARY, "50 statements a second, 99th answered after", "ms",
+         real("statements alone: answered after, 99th", "ms", "ms"), carried="the loop, six stages"),
+    Item(TIME, LUMP, "50 statements a second, 99th answered after", "ms",
+         real("statements and a lump: answered after, 99th", "ms", "ms"), carried=WHOLE),
 ))
 
 DISCOVERY = Role("discovery", "discovery and its machines", (
@@ -201,9 +239,12 @@
          planned(lambda s: s.plan.brokers / s.plan.control_machines), carried=THEIRS),
     Item(STATE, THIRD_LOST, "brokers for each that is left", "broker/machine",
          planned(lambda s: s.plan.brokers / (s.plan.control_machines * LEFT)), carried=THEIRS),
+    Item(STATE, THIRD_LOST, "brokers that heard nothing while they were lost", "broker",
+         played("a third of control lost", "brokers without word for the whole time", "brokers", "broker"),
+         carried=ADDRESSES_ASKED),
     Item(STATE, THIRD_LOST, "brokers without news, until their address is served again or SIGHUP names another",
          "broker", planned(lambda s: s.plan.brokers * LOST), carried="what was known goes on",
-         missing="more than one address of discovery in the configuration"),
+         missing=ADDRESSES),
     Item(MESSAGES, ORDINARY, "answers to polls, at the most", "poll/s/machine",
          planned(lambda s: polls(s) * s.plan.brokers / s.plan.control_machines), carried=POLL),
     Item(MESSAGES, ORDINARY, "bytes told", "KB/s/machine",
@@ -231,6 +272,18 @@
 
 ENGINE = Role("engine", "engine, as a database sees the brokers", (
     Item(STATE, ORDINARY, "brokers that hold it, on the mean", "holding/engine", holders, carried=SCOPE),
+    Item(STATE, ORDINARY, "brokers that hold it, largest over mean", "times",
+         played("ordinary", "brokers with it in scope an engine, largest over mean", "times", "times"),
+         "engine_imbalance", SCOPE, "a scope that is more even"),
+    Item(STATE, ORDINARY, "connections of all brokers, mean", "connection/engine",
+         played("ordinary", "connections an engine, mean", "connections", "connection/engine"), carried=SCOPE),
+    Item(STATE, ORDINARY, "connections of all brokers, largest over mean", "times",
+         played("ordinary", "connections an engine, largest over mean", "times", "times"), carried=SCOPE),
+    Item(MESSAGES, ORDINARY, "statements played, largest over mean", "times",
+         played("ordinary", "statements an engine, largest over mean", "times", "times"), carried=CHOICE),
+    Item(MESSAGES, ORDINARY, "statements played, largest over mean that chance alone gives", "times",
+         played("ordinary", "statements an engine, largest over mean by chance alone", "times", "times"),
+         carried=CHOICE),
     Item(MESSAGES, ORDINARY, "statements", "statement/s/engine", planned(lambda s: s.plan.statements / s.plan.engines),
          carried=CHOICE),
     Item(MESSAGES, ORDINARY, "messages, probes with them", "message/s/engine",
@@ -293,6 +346,8 @@
          "`Route.remember`", "ids of engines that have gone, kept by time"),
     Item(MESSAGES, ANEW, "hot restart: bytes of the list that is passed on", "MB/broker", listed(LIST_BYTES),
          carried="`hot_restart.py`"),
+    Item(TIME, ANEW, "hot restart: until the successor is ready", "s", listed(SUCCESSOR), "ready_within",
+         "`hot_restart.py`", "a list that is passed on in less time"),
     Item(MESSAGES, ORDINARY, "health: probes, at the most", "probe/s/broker", probes, carried=LOOKS),
     Item(TIME, ORDINARY, "health: ejection of an engine, at the most", "s",
          planned(lambda s: s.program["ejected_most"]),
@@ -302,10 +357,58 @@
 PRIMARY = Role("primary", "a change of primary", (
     Item(MESSAGES, ORDINARY, "changes told for them: a drain and a new entry each", "change/day",
          planned(lambda s: s.plan.primary_changes * Quantity.of(2, "1")), carried=POLL),
+    Item(TIME, ORDINARY, "until it is over at a broker, largest", "s",
+         played("primary_change", "change of primary over at a broker, largest", "s", "s"), "primary_within",
+         POLL + ", the line of a key", "an order of promotion: not in the protocol"),
+    Item(STATE, ORDINARY, "brokers where it is not over at the end", "broker",
+         played("primary_change", "brokers where it is not over", "brokers", "broker"),
+         carried=POLL + ", the line of a key"),
+    Item(MESSAGES, ORDINARY, "attempts to what was told as gone", "attempt",
+         played("primary_change", "attempts to what was told as gone", "attempts", "attempt"),
+         carried=DRAINS),
+    Item(MESSAGES, ORDINARY, "rules broken", "1", played("primary_change", "rules broken", "breaches", "1"),
+         carried="the checker's count"),
     Item(TIME, ORDINARY, "a control machine vanishes at that moment, and a key rests, at the most", "s",
          planned(lambda s: s.program["poll_linger"] + s.program["silent"] + s.program["retry_most"]
                  + s.plan.settle_after_doubt), "primary_within", POLL + ", the line of a key",
          "a second poll beside the first"),
 ))
 
-ROLES = (BROKER, DISCOVERY, ENGINE, CLIENT, TOOLS, WATCHING, PRIMARY)
+
+
+def of_scene(scene: str, moment: str) -> tuple[Item, ...]:
+    """What is told of each scene of a scale run."""
+    return (
+        Item(TIME, moment, "until a change is in force at the last broker, 50th", "s",
+             played(scene, "change in force at the last broker, 50th", "s", "s"), carried=POLL),
+        Item(TIME, moment, "the same, 99th", "s",
+             played(scene, "change in force at the last broker, 99th", "s", "s"), carried=POLL),
+        Item(TIME, moment, "the same, largest", "s",
+             played(scene, "change in force at the last broker, largest", "s", "s"), "in_force_within", POLL,
+             ADDRESSES if "lost" in moment else PIECES),
+        Item(MESSAGES, moment, "a broker's bytes for control, mean of all over the scene", "KB/s/broker",
+             played(scene, "control bytes of a broker, mean", "KB/s", "KB/s/broker"), "control_bytes", POLL, PIECES),
+        Item(MESSAGES, moment, "a machine for control at its worst second, bytes", "MB/s/machine",
+             played(scene, "a control machine at its worst second, bytes", "MB/s", "MB/s/machine"), carried=POLL),
+        Item(MESSAGES, moment, "a machine for control at its worst second, polls", "poll/s/machine",
+             played(scene, "a control machine at its worst second, requests", "requests/s", "poll/s/machine"),
+             carried=POLL),
+        Item(MESSAGES, moment, "attempts to what was told as gone", "attempt",
+             played(scene, "attempts to what was told as gone", "attempts", "attempt"), carried=DRAINS),
+        Item(MESSAGES, moment, "statements failed", "statement",
+             played(scene, "statements failed", "statements", "statement"), carried="retry budget"),
+        Item(MESSAGES, moment, "rules broken", "1", played(scene, "rules broken", "breaches", "1"),
+             carried="the checker's count"))
+
+
+FLEET = Role("fleet", "all brokers together, played", (
+    *of_scene("ordinary", ORDINARY), *of_scene("lumps", LUMP), *of_scene("zone_lost", ZONE),
+    *of_scene("region_start", START),
+    Item(TIME, START, "until a broker has its first list, largest", "s",
+         played("region_start", "start until the first list, largest", "s", "s"), "ready_within", POLL, PIECES),
+    Item(STATE, START, "brokers not ready at the end", "broker",
+         played("region_start", "brokers not ready", "brokers", "broker"), carried=POLL),
+    *of_scene("one control machine lost", "a control machine lost"), *of_scene("a third of control lost", THIRD_LOST),
+    *of_scene("all control lost", "all control lost"), *of_scene("regions_apart", APART)))
+
+ROLES = (BROKER, DISCOVERY, ENGINE, CLIENT, TOOLS, WATCHING, PRIMARY, FLEET)
--- a/umberusher/capacity/sums.py
+++ b/umberusher/capacity/sums.py
@@ -11,6 +11,7 @@
 from enum import IntEnum
 
 from umberusher.capacity.plan import Plan
+from umberusher.capacity.plays import REAL, Play
 from umberusher.capacity.slopes import Measurement
 from umberusher.capacity.units import Quantity, UnitError, parse
 
@@ -22,11 +23,13 @@
 
     PLANNED = 0  # of the plan and the program's constants alone
     RAN = 1  # measured at this size
-    SUMMED = 2  # of what was measured in this range
-    EXTRAPOLATED = 3  # beyond what was measured, or from one process to many
+    PLAYED = 2  # at this size, by hollow brokers and engines on the step clock
+    SUMMED = 3  # of what was measured in this range
+    EXTRAPOLATED = 4  # beyond what was measured, or from one process to many
 
 
-WORDS = {Basis.PLANNED: "reckoned", Basis.RAN: "ran", Basis.SUMMED: "summed", Basis.EXTRAPOLATED: "extrapolated"}
+WORDS = {Basis.PLANNED: "reckoned", Basis.RAN: "ran", Basis.PLAYED: "played", Basis.SUMMED: "summed",
+         Basis.EXTRAPOLATED: "extrapolated"}
 
 
 @dataclass(slots=True, frozen=True)
@@ -83,6 +86,16 @@
     unit: str
 
 
+@dataclass(slots=True, frozen=True)
+class Seen:
+    """Which figure of a scale run's scene is read, and as what: ``raw`` is the record's word for its unit."""
+
+    name: str
+    figure: str  # scene and figure, as the record has them
+    raw: str
+    unit: str
+
+
 def at(measured: Measurement, x: float) -> tuple[float, Basis]:
     """A measurement's figure at a size: the measured point, else its fit, else the line through its two last points.
 
@@ -111,8 +124,9 @@
     """Reads measurements at the plan's sizes. ``version`` is the suffix of those that are read, as ``.70bc7e5``."""
 
     def __init__(self, plan: Plan, program: Mapping[str, Quantity], measured: Mapping[str, Measurement],
-                 version: str = "") -> None:
+                 plays: Mapping[str, Play] | None = None, version: str = "") -> None:
         self.plan, self.program, self.measured, self.version = plan, program, measured, version
+        self.plays = plays or {}
 
     def cost(self, reading: Reading, size: Quantity | float | None = None) -> Estimate:
         """What a measurement gives at a size, in the units of what it counts by; None: it has one point.
@@ -134,6 +148,25 @@
         scale, dimension = parse(reading.unit)
         return Estimate(Quantity(value * scale, dimension), basis, (key,))
 
+    def seen(self, seen: Seen) -> Estimate:
+        """A figure of a scale run; none where that scene, or this size, was not played."""
+        key = seen.name + self.version
+        run = self.plays.get(key)
+        if run is None:
+            return Estimate(None, Basis.PLAYED, (), (key,))
+        for played, wanted in ((run.brokers, self.plan.brokers), (run.engines, self.plan.engines)):
+            if abs(played - wanted.value) > NEAR * wanted.value:
+                return Estimate(None, Basis.PLAYED, (), (f"{key} at the size",))
+        found = run.figures.get(seen.figure)
+        if found is None:
+            return Estimate(None, Basis.PLAYED, (), (f"{key}: {seen.figure}",))
+        value, unit = found
+        if unit != seen.raw:
+            raise UnitError(f"{key}: {seen.figure}: is in {unit!r}, {seen.raw!r} is read here")
+        scale, dimension = parse(seen.unit)
+        return Estimate(Quantity(value * scale, dimension),
+                        Basis.RAN if seen.figure.startswith(f"{REAL}: ") else Basis.PLAYED, (key,))
+
     def older(self, version: str) -> Sums:
         """The same sums of another version's measurements."""
-        return Sums(self.plan, self.program, self.measured, version)
+        return Sums(self.plan, self.program, self.measured, self.plays, version)
--- a/umberusher/commands/capacity.py
+++ b/umberusher/commands/capacity.py
@@ -9,6 +9,7 @@
 from umberusher import decide, discovery
 from umberusher.capacity import plan as plans
 from umberusher.capacity.plan import Plan, PlanError
+from umberusher.capacity.plays import Play, play
 from umberusher.capacity.roles import BEFORE, ROLES
 from umberusher.capacity.slopes import Measurement, measurement
 from umberusher.capacity.sums import Sums
@@ -38,19 +39,22 @@
     return plans.plan(script.name, script.text, script.get("size"))
 
 
-def measured(folder: str) -> tuple[dict[str, Measurement], list[str]]:
-    """All measurements that are kept, by their files' names, and a line for each file that is none."""
-    found, wrong = {}, []
+def measured(folder: str) -> tuple[dict[str, Measurement], dict[str, Play], list[str]]:
+    """All measurements and scale runs that are kept, by their files' names, and a line for each file that is none."""
+    found, plays, wrong = {}, {}, []
     for path in sorted(Path(folder).glob("*.json")):
         try:
-            one = measurement(json.loads(path.read_text(encoding="utf-8")), str(path))
+            raw = json.loads(path.read_text(encoding="utf-8"))
+            one, key = measurement(raw, str(path)), path.name.removesuffix(".json")
             if one.name != path.name.split(".")[0]:
                 raise ValueError(f"{path}: name: is {one.name!r}, and the file has another")
-            found[path.name.removesuffix(".json")] = one
+            if "figures" in raw:
+                plays[key] = play(raw, str(path))
+            found[key] = one
         except (OSError, ValueError) as error:  # of json too
             told = str(error) if str(error).startswith(str(path)) else f"{path}: {error}"
             wrong.append(told.splitlines()[0])
-    return found, wrong
+    return found, plays, wrong
 
 
 def text(path: str) -> str:
@@ -63,8 +67,8 @@
 
 def summed(args: argparse.Namespace) -> tuple[Sums, dict[str, list[str]], list[Line], list[str]]:
     """Sums, tables, their lines, and what is wrong with the measurements' files; UsageError for a wrong unit."""
-    found, wrong = measured(args.measurements)
-    sums = Sums(plan(args.plan), PROGRAM, found)
+    found, plays, wrong = measured(args.measurements)
+    sums = Sums(plan(args.plan), PROGRAM, found, plays)
     try:
         made, lines = tables(ROLES, sums, BEFORE)
     except UnitError as error:
