--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from umberusher import cli
-from umberusher.capacity import page, plan, plays, slopes
+from umberusher.capacity import page, plan, plays, roles, slopes
 from umberusher.capacity.roles import BEFORE, ROLES
 from umberusher.capacity.sums import Basis, Estimate, Reading, Seen, Sums, at
 from umberusher.capacity.tables import PASSED, Item, Role, lines, tables
@@ -394,6 +394,19 @@
         assert {item.part for item in role.items} <= {"state", "messages", "processor", "memory", "time"}
 
 
+def test_no_sum_has_a_wrong_unit_once_all_is_measured():
+    class Measured(Sums):
+        def seen(self, seen):
+            return Estimate(Quantity.of(1.0, seen.unit), Basis.PLAYED, (seen.name,))
+
+    readings = [each for each in vars(roles).values() if isinstance(each, Reading)]
+    documents = read(*(made(each.name, each.raw, each.by, ((1, 5.0), (100, 90.0), (32_000, 700.0)))
+                       for each in readings))
+    found = lines(ROLES, Measured(capacity.plan(str(SIZE)), capacity.PROGRAM, documents), BEFORE)
+    assert all(line.now.value is not None for line in found)
+    assert {key for line in found for key in line.now.sources} >= {each.name for each in readings}
+
+
 def test_serve_imports_nothing_of_it():
     code = ("import sys, umberusher.cli, umberusher.commands.serve; "
             "print([name for name in sys.modules if 'capacity' in name or 'starlark' in name])")
--- a/umberusher/capacity/roles.py
+++ b/umberusher/capacity/roles.py
@@ -174,6 +174,7 @@
     Item(MESSAGES, APART, "changes told at once", "change", planned(missed), carried=POLL),
     Item(MESSAGES, APART, "bytes of them", "KB/broker", lambda s: s.cost(LUMP_BYTES, missed(s)), carried=POLL),
     Item(MESSAGES, ANEW, "bytes of the first list", "MB/broker", listed(LIST_BYTES), carried=POLL),
+    Item(MESSAGES, ANEW, "bytes of discovery until it waits for news", "MB/broker", listed(START_BYTES), carried=POLL),
     Item(MESSAGES, ANEW, "time of the first list at no more than a broker's bytes for control", "s",
          lambda s: s.cost(LIST_BYTES, s.plan.engines) / s.plan.control_bytes, "ready_within", "", PIECES),
     Item(PROCESSOR, ORDINARY, "for control, in all", "% core/broker", listed(CONTROL), "control_processor", DIRECTORY,
