--- a/umberusher/capacity/roles.py
+++ b/umberusher/capacity/roles.py
@@ -157,6 +157,17 @@
 LOOKS = "a look a second at each that is held (`Gateway._probe`)"
 SECOND_LOOP = "a second loop a broker, or more brokers"
 
+def statements_of(stretch: str, moment: str, carried: str) -> tuple[Item, ...]:
+    """What clients see of real brokers with the whole list, at a small rate of statements."""
+    served, asked = (real(f"{stretch}: {name}", "statements", "statement")
+                     for name in ("statements served", "statements"))
+    return (
+        Item(MESSAGES, moment, "statements served, of 50 a second at each of four", "%",
+             lambda s: served(s) / asked(s), carried=carried),
+        Item(TIME, moment, "until their answer, whatever it is, 99th", "ms",
+             real(f"{stretch}: answered after, 99th", "ms", "ms"), carried=carried))
+
+
 BROKER = Role("broker", "broker", (
     Item(STATE, ORDINARY, "engines listed", "engine", planned(lambda s: s.plan.engines), carried=DIRECTORY),
     Item(STATE, ORDINARY, "engines held", "holding/broker", listed(HELD), carried=SCOPE),
@@ -212,6 +223,8 @@
     Item(MEMORY, ORDINARY, "its client connections, all quiet, beside that", "MB/broker",
          lambda s: s.cost(IDLE, clients(s) * A_BROKER), carried="buffers given back while quiet"),
     Item(TIME, ANEW, "until it is ready", "s", listed(READY), "ready_within", POLL, LIST_HELD),
+    Item(STATE, ANEW, "brokers that became ready, of four at once", "broker",
+         real("real brokers ready", "brokers", "broker"), carried=POLL),
     Item(TIME, ANEW, "until it is ready, four at once, largest", "s",
          real("real broker ready after, largest", "s", "s"), "ready_within", POLL, LIST_HELD),
     Item(PROCESSOR, ORDINARY, "for control, four at once, largest", "% core/broker",
@@ -229,10 +242,10 @@
          "a directory that is smaller"),
     Item(TIME, LUMP, "until it is in force, four at once, largest", "s", real("a lump: in force, largest", "s", "s"),
          "in_force_within", POLL, PIECES),
-    Item(TIME, ORDINARY, "50 statements a second, 99th answered after", "ms",
-         real("statements alone: answered after, 99th", "ms", "ms"), carried="the loop, six stages"),
-    Item(TIME, LUMP, "50 statements a second, 99th answered after", "ms",
-         real("statements and a lump: answered after, 99th", "ms", "ms"), carried=WHOLE),
+    Item(MESSAGES, LUMP, "changes not in force after 5 s, four at once, a broker and change each", "change",
+         real("a lump: not in force after 5 s", "changes", "change"), carried=POLL),
+    *statements_of("statements alone", ORDINARY, "the loop, six stages"),
+    *statements_of("statements and a lump", LUMP, WHOLE),
 ))
 
 DISCOVERY = Role("discovery", "discovery and its machines", (
--- a/umberusher/capacity/tables.py
+++ b/umberusher/capacity/tables.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from umberusher.capacity.plan import FIELDS, Plan
+from umberusher.capacity.plays import REAL, Play
 from umberusher.capacity.slopes import Measurement
 from umberusher.capacity.sums import WORDS, Basis, Estimate, Sums
 from umberusher.capacity.units import Quantity, UnitError, figure, shown
@@ -167,18 +168,24 @@
                   rows)
 
 
-def measurement_table(measured: Mapping[str, Measurement]) -> list[str]:
+def measurement_table(measured: Mapping[str, Measurement], plays: Mapping[str, Play]) -> list[str]:
     """All that was measured: sizes, line, how far the points are from it, where it ends, spread, commit, command."""
     rows = []
     for key in sorted(measured):
-        each = measured[key]
+        each, run = measured[key], plays.get(key)
+        commit = each.commit[:8] + (" and changes" if each.dirty else "")
+        if run:
+            clocks = sorted({"wall" if name.startswith(f"{REAL}: ") else "step" for name in run.figures})
+            rows.append((f"`{key}`", f"a scale run of {run.engines:,.0f} engines", f"brokers: {run.brokers:,.0f}",
+                         f"{len(run.figures)} figures", "-", "-", "-", "-", " and ".join(clocks), commit,
+                         f"`{each.command}`"))
+            continue
         points = each.medians()
         sizes = figure(points[0][0]) + (f" to {figure(points[-1][0])}" if len(points) > 1 else "")
         line = (f"{figure(each.fit.base)} + {figure(each.fit.slope)} each", f"{100 * _worst(each):.0f}%",
                 figure(each.fit.linear_to)) if each.fit else (figure(points[0][1]), "-", "-")
         rows.append((f"`{key}`", f"{each.what}, {each.unit}", f"{each.by}: {sizes}", str(len(points)), *line,
-                     f"{100 * each.spread():.0f}%", each.clock,
-                     each.commit[:8] + (" and changes" if each.dirty else ""), f"`{each.command}`"))
+                     f"{100 * each.spread():.0f}%", each.clock, commit, f"`{each.command}`"))
     return _table(("name", "what", "by", "points", "line", "worst residual", "linear to", "spread of rounds", "clock",
                    "commit", "command"), rows) if rows else ["Nothing has been measured."]
 
@@ -194,5 +201,5 @@
     made = {role.name: _table(HEADS, (_row(each, sums.measured) for each in found if each.role is role))
             for role in roles}
     made |= {"plan": plan_table(sums.plan), "passed": passed_table(found), "counts": counts_table(roles, found),
-             "measurements": measurement_table(sums.measured)}
+             "measurements": measurement_table(sums.measured, sums.plays)}
     return made, found
