--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -383,9 +383,10 @@
 
 
 def test_the_page_holds_each_role_and_no_line_is_left_without_a_word_on_what_carries_it():
-    found, plays, wrong = capacity.measured(str(ROOT / "measurements"))
+    found, runs, wrong = capacity.measured(str(ROOT / "measurements"))
+    the_plan = capacity.plan(str(SIZE))
     assert not wrong
-    made_tables, told = tables(ROLES, Sums(capacity.plan(str(SIZE)), capacity.PROGRAM, found, plays), BEFORE)
+    made_tables, told = tables(ROLES, Sums(the_plan, capacity.program(the_plan), found, runs), BEFORE)
     assert {block.name for block in page.blocks((ROOT / "docs/CAPACITY.md").read_text())} == set(made_tables)
     assert all(line.item.carried or line.item.missing for line in told)
     assert all(line.item.missing for line in told if line.item.budget)
@@ -402,7 +403,8 @@
     readings = [each for each in vars(roles).values() if isinstance(each, Reading)]
     documents = read(*(made(each.name, each.raw, each.by, ((1, 5.0), (100, 90.0), (32_000, 700.0)))
                        for each in readings))
-    found = lines(ROLES, Measured(capacity.plan(str(SIZE)), capacity.PROGRAM, documents), BEFORE)
+    the_plan = capacity.plan(str(SIZE))
+    found = lines(ROLES, Measured(the_plan, capacity.program(the_plan), documents), BEFORE)
     assert all(line.now.value is not None for line in found)
     assert {key for line in found for key in line.now.sources} >= {each.name for each in readings}
 
--- a/umberusher/commands/capacity.py
+++ b/umberusher/commands/capacity.py
@@ -6,7 +6,7 @@
 import json
 from pathlib import Path
 
-from umberusher import decide, discovery
+from umberusher import decide, discovery, hot_restart
 from umberusher.capacity import plan as plans
 from umberusher.capacity.plan import Plan, PlanError
 from umberusher.capacity.plays import Play, play
@@ -16,6 +16,7 @@
 from umberusher.capacity.tables import Line, tables
 from umberusher.capacity.units import Quantity, UnitError
 from umberusher.errors import UsageError
+from umberusher.protocol import board
 from umberusher.stages import route
 from umberusher.traces.scripts import Script, ScriptError
 
@@ -30,6 +31,13 @@
 }
 
 
+def program(size: Plan) -> dict[str, Quantity]:
+    """The program's constants, with those that go by a broker's memory at that size."""
+    most = board.list_limit(size.control_memory.to("MB/broker"))
+    return PROGRAM | {"list_most": Quantity.of(most, "B/broker"),
+                      "greeting_most": Quantity.of(hot_restart.MESSAGE_PART * most, "B/broker")}
+
+
 def plan(path: str) -> Plan:
     """The numbers to plan with; PlanError by file, line and field."""
     try:
@@ -68,7 +76,8 @@
 def summed(args: argparse.Namespace) -> tuple[Sums, dict[str, list[str]], list[Line], list[str]]:
     """Sums, tables, their lines, and what is wrong with the measurements' files; UsageError for a wrong unit."""
     found, plays, wrong = measured(args.measurements)
-    sums = Sums(plan(args.plan), PROGRAM, found, plays)
+    size = plan(args.plan)
+    sums = Sums(size, program(size), found, plays)
     try:
         made, lines = tables(ROLES, sums, BEFORE)
     except UnitError as error:
