--- a/umberusher/hollow/shared_parse.py
+++ b/umberusher/hollow/shared_parse.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -17,26 +16,19 @@
 KEPT = 16  # answers; those under way at a time are fewer
 
 
-class _Json:
-    """In the place of the json module, for the codec alone."""
-
-    def __init__(self) -> None:
-        self.known: dict[bytes, object] = {}
-
-    def loads(self, data: bytes) -> object:
-        """The document; the same object for the same bytes."""
-        found = self.known.get(data)
-        if found is None:
-            if len(self.known) >= KEPT:
-                self.known.pop(next(iter(self.known)))
-            found = self.known[bytes(data)] = json.loads(data)
-        return found
-
-
 @contextmanager
 def shared_parse() -> Iterator[None]:
     """While it lasts the codec parses each answer once."""
-    parse, made, real = board.notices, {}, (board.json, discovery.notices)
+    parse, known, made, real = board.notices, {}, {}, (board.read, discovery.notices)
+
+    def read(text: str) -> object:
+        """As the codec's; the same document for the same text, which nobody changes."""
+        found = known.get(text)
+        if found is None:
+            if len(known) >= KEPT:
+                known.pop(next(iter(known)))
+            found = known[text] = real[0](text)
+        return found
 
     def notices(document: object, after: int) -> object:
         """As the codec's; what it makes is not changed by anyone."""
@@ -48,8 +40,8 @@
             made[id(document), after] = document, found  # held: the number can't be given out again
         return found
 
-    board.json, discovery.notices = _Json(), notices
+    board.read, discovery.notices = read, notices
     try:
         yield
     finally:
-        board.json, discovery.notices = real
+        board.read, discovery.notices = real
