--- a/umberusher/capacity/sums.py
+++ b/umberusher/capacity/sums.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import IntEnum
+from itertools import pairwise
 
 from umberusher.capacity.plan import Plan
 from umberusher.capacity.plays import REAL, Play
@@ -97,10 +98,10 @@
 
 
 def at(measured: Measurement, x: float) -> tuple[float, Basis]:
-    """A measurement's figure at a size: the measured point, else its fit, else the line through its two last points.
+    """A measurement's figure at a size: the measured point, else its fit, where all points lie on one line.
 
-    The fit counts up to where it is linear. Between points beyond that the next larger point counts, as the dearer one.
-    Beyond the ends a figure never falls under that of the nearest point: guards against a line that runs below 0.
+    Where they don't, the line between the two points beside it, or through the two last ones. Beyond the ends a figure
+    never falls under that of the nearest point: guards against a line that runs below 0.
     """
     points = measured.medians()
     for point, value in points:
@@ -115,9 +116,10 @@
         low, before = points[-2]
         line = measured.fit.at(x) if straight >= last else most + (most - before) / (last - low) * (x - last)
         return max(line, most), Basis.EXTRAPOLATED
-    if x <= straight:
+    if straight >= last:
         return max(measured.fit.at(x), 0.0), Basis.SUMMED
-    return next(value for point, value in points if point >= x), Basis.SUMMED
+    (low, before), (high, after) = next(pair for pair in pairwise(points) if pair[1][0] >= x)
+    return before + (after - before) / (high - low) * (x - low), Basis.SUMMED
 
 
 class Sums:
