--- a/umberusher/capacity/tables.py
+++ b/umberusher/capacity/tables.py
@@ -112,6 +112,11 @@
     return f"`{key}` @ {found.commit[:8]}{' and changes' if found.dirty else ''}"
 
 
+def _sure(told: str, estimate: Estimate) -> str:
+    """In italics where it is extrapolated."""
+    return f"*{told}*" if estimate.basis is Basis.EXTRAPOLATED and estimate.value is not None else told
+
+
 def _row(line: Line, measured: Mapping[str, Measurement]) -> list[str]:
     item, now = line.item, line.now
     runs = [run_of(key, measured) for key in now.sources] + [f"no `{key}`" for key in now.absent]
@@ -119,13 +124,11 @@
     if now.basis is Basis.PLANNED:
         before = "the same" if line.before == line.now else line.told(line.before)
     else:
-        before = line.told(line.before)
+        before = _sure(line.told(line.before), line.before)
         if line.budget and judged(line.before, line.budget) == PASSED:
             before += ", **passed**"
     told = f"**{line.verdict}**" if line.verdict == PASSED else line.verdict
-    if now.basis is Basis.EXTRAPOLATED and now.value is not None:
-        known = f"*{known}*"
-    return [item.part, item.moment, item.what, line.told(now), line.bound(), told, known, before,
+    return [item.part, item.moment, item.what, line.told(now), line.bound(), told, _sure(known, now), before,
             ", ".join(runs) or "-", carried(line)]
 
 
