--- a/umberusher/cli.py
+++ b/umberusher/cli.py
@@ -109,6 +109,17 @@
     "statement": ("contract_statement", "promised, used, refused and its worth in a period, from brokers' logs", (
         _CONTRACT, _o("logs", nargs="+", metavar="LOG"), _o("--json", metavar="OUT"), _o("--plot", metavar="OUT"))),
 }
+_SIZE = (
+    _o("--plan", default="deploy/capacity/size-to-plan-with.star", metavar="SIZE.star",
+       help="the numbers to plan with"),
+    _o("--measurements", default="measurements", metavar="DIR"))
+CAPACITY: dict[str, tuple[str, str, tuple[Option, ...]]] = {
+    "show": ("capacity_show", "what each role needs at the size, its budget, and what carries it", (
+        *_SIZE, _o("--role", metavar="NAME", help="one table alone"),
+        _o("--write", metavar="PAGE", help="make the tables of that page anew"))),
+    "check": ("capacity_check", "whether the page is what the committed measurements give; names the budgets passed", (
+        *_SIZE, _o("--page", default="docs/CAPACITY.md", metavar="PAGE"))),
+}
 SCALE: dict[str, tuple[str, str, tuple[Option, ...]]] = {
     "run": ("scale_run", "play a fleet's bad moments with hollow brokers, engines and control machines", (
         _PLAN, _o("--seed", type=int, help="in place of the plan's"), _o("--workers", type=int, help="processes"),
@@ -116,7 +127,8 @@
         _o("--only", choices=["hollow", "real"], help="the scenes on the step clock, or the real brokers"),
         _o("--json", metavar="OUT"), _o("--plot", metavar="OUT", help="SVG"), _LOG)),
 }
-GROUPS = {"contract": ("teams and what each was promised", CONTRACT),
+GROUPS = {"capacity": ("the size to plan with, and what it asks of each role", CAPACITY),
+          "contract": ("teams and what each was promised", CONTRACT),
           "scale": ("the size to plan with, played on one machine", SCALE),
           "trace": ("read, compile and replay published cluster traces", TRACE),
           "deadlines": ("what became of requests' time", DEADLINES)}
