Keep a scope's width till a tenth is wanted, so that one engine moves no other

Found by reading: with 300 listed each engine that came or went moved the width by a slice or two, a walk over the list and all 256 in scope told again (5,390 entries for 20 changes; 20 now). At 32,000 nothing changes: a slice is a quarter of the width there. 1,060 tests pass, the new one at 300 listed was seen failing. The balance of tests/test_membership.py holds.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -382,3 +382,17 @@
 
 def test_a_class_that_names_nothing_asks_for_nothing():
     assert scoping.asked_of([LOOKUP]) == []
+
+
+@pytest.mark.parametrize("engines", [300, 500, 1000, 3000])
+def test_one_engine_more_or_less_moves_no_other_at_any_length(engines):
+    """Found by reading: at 300 listed each change moved the width by a slice or two, and all in scope was told anew."""
+    player = Player(settings(200, 3))
+    player.take(map(entry, range(engines)), complete=True)
+    before, told = player.told(), len(player.events)
+    for number in range(engines, engines + 10):
+        player.take([entry(number)])
+        player.take([entry(number - engines, EngineState.GONE)])
+    assert sum(len(event.entries) for event in player.events[told:]) <= 20
+    assert len(player.told() ^ before) <= 20
+    player.agree()
--- a/umberusher/membership/subset.py
+++ b/umberusher/membership/subset.py
@@ -18,6 +18,7 @@
 SCOPE = 256  # engines that a broker holds, about: some 30 in each of 8 zones; a statement weighs no more than these
 HELD = 8  # brokers that hold an engine at the least: brokers are restarted and lost, and one alone may be the busy one
 STEP = 0.75  # of a slice by which the width wanted must lie off before it changes: engines come and go at a boundary
+SLACK = 0.1  # of the width, the same: with a few hundred listed each engine would move it, and all be told again
 CHANCE = 3.0  # roots of the mean by which an engine may be held more often where brokers' places are not known
 
 
@@ -63,7 +64,7 @@
         wanted = SLICES * max(least / max(engines, 1), HELD / self.brokers)
         if wanted >= SLICES:
             return SLICES
-        return max(round(wanted), 1) if abs(wanted - before) > STEP else before
+        return max(round(wanted), 1) if abs(wanted - before) > max(STEP, SLACK * before) else before
 
     def holders(self, width: int) -> float:
         """How many brokers of the fleet hold an engine, at the most, where all have that width."""
