--- a/deploy/scale/fleet.star
+++ b/deploy/scale/fleet.star
@@ -23,9 +23,6 @@
     scene("regions_apart", apart_for = hours(1), played = s(18), changes = per_day(49000), lasts = s(44)),
     scene("primary_change", keys = 64, rate = per_s(1), entry_after = s(2), gone_after = s(1), lasts = s(30)),
     scene("hail", changes = per_s(50), lasts = s(20)),
-    scene("ids", entries = 5000, every = s(5), lasts = s(20)),
-    scene("twice", entries = 1000, lasts = s(20)),
-    scene("nothing", empty_for = s(5), lasts = s(20)),
 ]
 
 real = serve(brokers = 4, engines = 32000, changes = per_day(49000), lump = 4000, statements = per_s(50), lasts = s(60))
