--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -202,6 +202,15 @@
         assert max(seen.worst_us.values()) <= 14_000_000
 
 
+def test_the_next_scene_loses_machines_that_have_brokers():
+    """A machine that was lost has none afterwards: polls are long, and nothing moves them back."""
+    scenes = [plan.Scene("control_lost", name, scene("control_lost", played=12.0, lasts=30.0, machines=3.0,
+                                                     own_addresses=float(own)).fields)
+              for own, name in enumerate(("first", "second"))]
+    seen = played(made(*scenes, control_machines=6))
+    assert seen["first"].without_word == 0 and seen["second"].without_word == 6
+
+
 def test_regions_that_were_apart_hear_of_all_changes_once_they_are_back():
     seen = one("regions_apart")
     well(seen)
--- a/umberusher/scale/world.py
+++ b/umberusher/scale/world.py
@@ -75,7 +75,7 @@
         self.counts = Counts()
         self.brokers: dict[int, HollowBroker] = {}
         self.addresses: dict[int, tuple[str, int]] = {}
-        self.generation = 0
+        self.generation = self.lost_next = 0
         self.back_at = [0.0] * self.regions  # since when a region hears again: changes made before count from there
         self.listed: dict[str, Line] = {}  # what the ledger has, by engine
         self.follow: deque[Line] = deque()  # drains under way: what comes next of them
@@ -366,8 +366,10 @@
 
     def _scene_control_lost(self, fields: dict[str, float], lasts: float) -> None:
         """Machines are lost; where all are, the changes of the whole time away are there when they come back."""
-        numbers = list(range(int(fields["machines"])))
-        everything, rate = len(numbers) == len(self.control.machines), fields["changes"]
+        count = len(self.control.machines)
+        numbers = [(self.lost_next + each) % count for each in range(int(fields["machines"]))]
+        self.lost_next = (self.lost_next + len(numbers)) % count  # one that has been lost has no brokers afterwards
+        everything, rate = len(numbers) == count, fields["changes"]
         self._changes(rate, LEAD_S, fields["played"])
         self.control.own_addresses = bool(fields["own_addresses"])
         self._at(LEAD_S, lambda: self.control.lose(numbers))
