--- a/umberusher/commands/scale_run.py
+++ b/umberusher/commands/scale_run.py
@@ -65,6 +65,8 @@
              "what": "time until a change is in force at the last broker, largest of all scenes"}
     more = {"size": plan.size, "statements": plan.load, "digest": found["digest"], "not_run": found["not_run"],
             "why_not_run": found["why"], "run": found["run"], "clocks": {"scenes": "step", "real": "wall"},
+            "statements_by_second": {scene: [dict(sorted(counts.items())) for counts in each.by_second]
+                                     for scene, each in seen.items()},
             "breaches": [word for each in seen.values() for word in each.words][:20]}
     figures = _flat(scenes | ({"real": real} if real else {}))
     tools.write_json(args.json, record(name, plan, command, "step", figures, point, more))
