--- a/umberusher/capacity/roles.py
+++ b/umberusher/capacity/roles.py
@@ -391,6 +391,13 @@
 
 
 
+def served_of(scene: str) -> Callable[[Sums], Estimate]:
+    """The part of a scene's statements that was served."""
+    served, *others = (played(scene, f"statements {word}", "statements", "statement")
+                       for word in ("served", "refused", "failed", "expired", "with its broker"))
+    return lambda s: served(s) / sum((each(s) for each in others), served(s))
+
+
 def of_scene(scene: str, moment: str) -> tuple[Item, ...]:
     """What is told of each scene of a scale run."""
     return (
@@ -401,8 +408,11 @@
         Item(TIME, moment, "the same, largest", "s",
              played(scene, "change in force at the last broker, largest", "s", "s"), "in_force_within", POLL,
              ADDRESSES if "lost" in moment else PIECES),
+        # The scene of lumps plays them far closer together than a day has them: what its bytes come to a second is no
+        # figure of the size. A day's lumps are the broker's line.
         Item(MESSAGES, moment, "a broker's bytes for control, mean of all over the scene", "KB/s/broker",
-             played(scene, "control bytes of a broker, mean", "KB/s", "KB/s/broker"), "control_bytes", POLL, PIECES),
+             played(scene, "control bytes of a broker, mean", "KB/s", "KB/s/broker"),
+             "" if moment == LUMP else "control_bytes", POLL, PIECES),
         Item(MESSAGES, moment, "a machine for control at its worst second, bytes", "MB/s/machine",
              played(scene, "a control machine at its worst second, bytes", "MB/s", "MB/s/machine"), carried=POLL),
         Item(MESSAGES, moment, "a machine for control at its worst second, polls", "poll/s/machine",
@@ -410,8 +420,14 @@
              carried=POLL),
         Item(MESSAGES, moment, "attempts to what was told as gone", "attempt",
              played(scene, "attempts to what was told as gone", "attempts", "attempt"), carried=DRAINS),
+        Item(MESSAGES, moment, "statements served, of those that have ended", "%", served_of(scene),
+             carried="retry budget, ejection"),
+        Item(MESSAGES, moment, "statements refused", "statement",
+             played(scene, "statements refused", "statements", "statement"), carried="retry budget, ejection"),
         Item(MESSAGES, moment, "statements failed", "statement",
-             played(scene, "statements failed", "statements", "statement"), carried="retry budget"),
+             played(scene, "statements failed", "statements", "statement"), carried="retry budget, ejection"),
+        Item(MESSAGES, moment, "statements without an end", "statement",
+             played(scene, "statements without an end", "statements", "statement"), carried="`stages/book.py`"),
         Item(MESSAGES, moment, "rules broken", "1", played(scene, "rules broken", "breaches", "1"),
              carried="the checker's count"))
 
