--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -12,8 +12,8 @@
 
 from umberusher import cli
 from umberusher.capacity import page, plan, plays, roles, slopes
-from umberusher.capacity.roles import BEFORE, ROLES
-from umberusher.capacity.sums import Basis, Estimate, Reading, Seen, Sums, at
+from umberusher.capacity.roles import ROLES
+from umberusher.capacity.sums import BEFORE, Basis, Estimate, Reading, Seen, Sums, at
 from umberusher.capacity.tables import PASSED, Item, Role, lines, tables
 from umberusher.capacity.units import COUNTED, UNITS, Quantity, UnitError, figure, shown
 from umberusher.commands import capacity
@@ -160,6 +160,19 @@
     assert (Estimate(sums.plan.brokers) * sums.plan.engines).basis is Basis.PLANNED
 
 
+def test_the_newest_version_stands_in_where_the_program_of_now_was_not_measured():
+    older, newer = (made(points=((32_000, 1.0),), at=f"2026-12-02T0{hour}:00:00Z") for hour in (4, 5))
+    first = made(points=((32_000, 9.0),), at="2026-12-02T06:00:00Z")
+    kept = read(older, suffix=".1234567") | read(newer, suffix=".abcdef0") | read(first, suffix=BEFORE)
+    reading = Reading("made-up", "engines listed", "us", "core us")
+
+    def source(measured):
+        return Sums(capacity.plan(str(SIZE)), {}, measured).cost(reading, 32_000).sources
+
+    assert source(kept) == ("made-up.abcdef0",)
+    assert source(kept | read(made())) == ("made-up",) and source(read(first, suffix=BEFORE)) == ()
+
+
 def test_a_size_that_was_never_reached_passes_its_budget():
     document = made("broker-control-cpu", "% of a core", unreached=[{"x": 64_000, "why": "asks in a circle"}])
     sums = Sums(capacity.plan(str(SIZE)), capacity.PROGRAM, read(document))
--- a/umberusher/capacity/roles.py
+++ b/umberusher/capacity/roles.py
@@ -13,7 +13,6 @@
 from umberusher.capacity.tables import Item, Role
 from umberusher.capacity.units import Quantity
 
-BEFORE = ".70bc7e5"  # measurements of the program before it was made for this size, kept beside those of now
 ORDINARY, RACK, ZONE, START = "ordinary", "a rack", "a zone at once", "all brokers of a region start"
 APART, LUMP, ANEW = "regions apart and back", "a lump", "its own start"
 THIRD_LOST = "a third of control lost"
--- a/umberusher/capacity/sums.py
+++ b/umberusher/capacity/sums.py
@@ -16,6 +16,7 @@
 from umberusher.capacity.slopes import Measurement
 from umberusher.capacity.units import Quantity, UnitError, parse
 
+BEFORE = ".70bc7e5"  # measurements of the program before it was made for this size, kept beside those of now
 NEAR = 0.005  # relative: a point this near to the size is at the size
 
 
@@ -130,12 +131,19 @@
         self.plan, self.program, self.measured, self.version = plan, program, measured, version
         self.plays = plays or {}
 
+    def _key(self, name: str) -> str:
+        """The measurement of a version; where the program of now has none, the newest since the one before."""
+        if self.version or name in self.measured:
+            return name + self.version
+        others = [key for key in self.measured if key.startswith(f"{name}.") and key != name + BEFORE]
+        return max(others, key=lambda key: self.measured[key].at, default=name)
+
     def cost(self, reading: Reading, size: Quantity | float | None = None) -> Estimate:
         """What a measurement gives at a size, in the units of what it counts by; None: it has one point.
 
         UnitError where its file measures in another unit, or by something else, than is read here.
         """
-        key = reading.name + self.version
+        key = self._key(reading.name)
         found = self.measured.get(key)
         if found is None:
             return Estimate(None, Basis.RAN, (), (key,))
@@ -152,7 +160,7 @@
 
     def seen(self, seen: Seen) -> Estimate:
         """A figure of a scale run; none where that scene, or this size, was not played."""
-        key = seen.name + self.version
+        key = self._key(seen.name)
         run = self.plays.get(key)
         if run is None:
             return Estimate(None, Basis.PLAYED, (), (key,))
--- a/umberusher/commands/capacity.py
+++ b/umberusher/commands/capacity.py
@@ -10,9 +10,9 @@
 from umberusher.capacity import plan as plans
 from umberusher.capacity.plan import Plan, PlanError
 from umberusher.capacity.plays import Play, play
-from umberusher.capacity.roles import BEFORE, ROLES
+from umberusher.capacity.roles import ROLES
 from umberusher.capacity.slopes import Measurement, measurement
-from umberusher.capacity.sums import Sums
+from umberusher.capacity.sums import BEFORE, Sums
 from umberusher.capacity.tables import Line, tables
 from umberusher.capacity.units import Quantity, UnitError
 from umberusher.errors import UsageError
