--- a/umberusher/capacity/roles.py
+++ b/umberusher/capacity/roles.py
@@ -15,7 +15,7 @@
 
 ORDINARY, RACK, ZONE, START = "ordinary", "a rack", "a zone at once", "all brokers of a region start"
 APART, LUMP, ANEW = "regions apart and back", "a lump", "its own start"
-THIRD_LOST = "a third of control lost"
+THIRD_LOST, ALL_LOST, ONE_LOST = "a third of control lost", "all control lost", "a control machine lost"
 STATE, MESSAGES, PROCESSOR, MEMORY, TIME = "state", "messages", "processor", "memory", "time"
 LISTED, ENTRIES, FOLLOW = "engines listed", "entries of a change", "brokers that follow it"
 OFFERED, QUIET = "statements a second offered", "quiet connections"
@@ -151,7 +151,9 @@
 LIST_HELD = "a list that is fetched once and can be held"
 PIECES = "a list in pieces or compressed, or a zone's change told as one: not in the protocol"
 ADDRESSES = "more than one address of discovery in the configuration"
+NO_WAY_ROUND = "a way round what is lost, as another region's control: not in the protocol, nor in the configuration"
 ADDRESSES_ASKED = "their address is asked again (`umberusher/discovery.py`)"
+KNOWN = "what was known goes on (`umberusher/discovery.py`)"
 CHOICE = "choice by load reports (`decide.py`)"
 LOOKS = "a look a second at each that is held (`Gateway._probe`)"
 SECOND_LOOP = "a second loop a broker, or more brokers"
@@ -253,12 +255,15 @@
          planned(lambda s: s.plan.brokers / s.plan.control_machines), carried=THEIRS),
     Item(STATE, THIRD_LOST, "brokers for each that is left", "broker/machine",
          planned(lambda s: s.plan.brokers / (s.plan.control_machines * LEFT)), carried=THEIRS),
-    Item(STATE, THIRD_LOST, "brokers that heard nothing while they were lost", "broker",
-         played("a third of control lost", "brokers without word for the whole time", "brokers", "broker"),
-         carried=ADDRESSES_ASKED),
-    Item(STATE, THIRD_LOST, "brokers without news, until their address is served again or SIGHUP names another",
-         "broker", planned(lambda s: s.plan.brokers * LOST), carried="what was known goes on",
-         missing=ADDRESSES),
+    *(Item(STATE, moment, f"brokers that heard nothing meanwhile{told}", "broker",
+           played(scene, "brokers without word for the whole time", "brokers", "broker"), carried=by, missing=ADDRESSES)
+      for scene, moment, told, by in (
+          ("one control machine lost", ONE_LOST, "", ADDRESSES_ASKED),
+          ("one lost, own addresses", ONE_LOST, ", where each machine has its own address", ""),
+          ("a third of control lost", THIRD_LOST, "", ADDRESSES_ASKED), ("all control lost", ALL_LOST, "", KNOWN),
+          ("regions_apart", APART, "", KNOWN))),
+    Item(STATE, THIRD_LOST, "brokers that hear nothing, where each machine has its own address", "broker",
+         planned(lambda s: s.plan.brokers * LOST), missing=ADDRESSES),
     Item(MESSAGES, ORDINARY, "answers to polls, at the most", "poll/s/machine",
          planned(lambda s: polls(s) * s.plan.brokers / s.plan.control_machines), carried=POLL),
     Item(MESSAGES, ORDINARY, "bytes told", "KB/s/machine",
@@ -399,14 +404,18 @@
 
 def of_scene(scene: str, moment: str) -> tuple[Item, ...]:
     """What is told of each scene of a scale run."""
+    # Where nothing could be told, times count from the return: what was changed meanwhile has a line of its own.
+    away = moment in (APART, ALL_LOST)
     return (
-        Item(TIME, moment, "until a change is in force at the last broker, 50th", "s",
+        Item(TIME, moment, f"until a change is in force at the last broker{', from the return on' * away}, 50th", "s",
              played(scene, "change in force at the last broker, 50th", "s", "s"), carried=POLL),
         Item(TIME, moment, "the same, 99th", "s",
              played(scene, "change in force at the last broker, 99th", "s", "s"), carried=POLL),
         Item(TIME, moment, "the same, largest", "s",
-             played(scene, "change in force at the last broker, largest", "s", "s"), "in_force_within", POLL,
-             ADDRESSES if "lost" in moment else PIECES),
+             played(scene, "change in force at the last broker, largest", "s", "s"),
+             "" if away else "in_force_within", POLL, ADDRESSES if "lost" in moment else PIECES),
+        *((Item(TIME, moment, "until a change that is made meanwhile is in force everywhere, at the least", "s",
+                planned(lambda s: s.plan.regions_apart), "in_force_within", "", NO_WAY_ROUND),) if away else ()),
         # The scene of lumps plays them far closer together than a day has them: what its bytes come to a second is no
         # figure of the size. A day's lumps are the broker's line.
         Item(MESSAGES, moment, "a broker's bytes for control, mean of all over the scene", "KB/s/broker",
@@ -434,11 +443,12 @@
 FLEET = Role("fleet", "all brokers together, played", (
     *of_scene("ordinary", ORDINARY), *of_scene("lumps", LUMP), *of_scene("zone_lost", ZONE),
     *of_scene("region_start", START),
-    Item(TIME, START, "until a broker has its first list, largest", "s",
-         played("region_start", "start until the first list, largest", "s", "s"), "ready_within", POLL, PIECES),
+    # No budget: on the step clock neither the list's bytes nor its reading take any time.
+    Item(TIME, START, "until a broker has its first list, waits alone, largest", "s",
+         played("region_start", "start until the first list, largest", "s", "s"), carried=POLL),
     Item(STATE, START, "brokers not ready at the end", "broker",
          played("region_start", "brokers not ready", "brokers", "broker"), carried=POLL),
-    *of_scene("one control machine lost", "a control machine lost"), *of_scene("a third of control lost", THIRD_LOST),
-    *of_scene("all control lost", "all control lost"), *of_scene("regions_apart", APART)))
+    *of_scene("one control machine lost", ONE_LOST), *of_scene("a third of control lost", THIRD_LOST),
+    *of_scene("all control lost", ALL_LOST), *of_scene("regions_apart", APART)))
 
 ROLES = (BROKER, DISCOVERY, ENGINE, CLIENT, TOOLS, WATCHING, PRIMARY, FLEET)
