--- a/scripts/measure_slopes.py
+++ b/scripts/measure_slopes.py
@@ -414,15 +414,15 @@
 
 def discovery_side(root: str, found: Values, lost: Lost) -> None:
     """A stand-in discovery by brokers, by list at a start, by rate, by entries of a lump."""
-    for count in FOLLOWERS:
-        with following(1_000, count) as (discovery, _):
-            seen = discovery_window(discovery, 10.0, FOLLOW_S)
+    with contextlib.ExitStack() as stack:
+        watched = {count: stack.enter_context(following(1_000, count))[0] for count in FOLLOWERS}
+        for count, seen in discovery_windows(watched, dict.fromkeys(FOLLOWERS, 10.0)).items():
             found["discovery-change-cpu"][count].append(seen["cpu_s"] / seen["rev"] * 1e3)
             found["discovery-change-bytes"][count].append(seen["bytes_out"] / seen["rev"])
-            found["discovery-memory"][count].append(memory_mb(discovery.child.pid)[1])
-            idle = discovery_window(discovery, 0.0, FOLLOW_S)
-            found["discovery-idle-share"][count].append(100 * idle["cpu_s"] / FOLLOW_S)
-            found["discovery-idle-bytes"][count].append(idle["bytes_out"] / FOLLOW_S)
+            found["discovery-memory"][count].append(memory_mb(watched[count].child.pid)[1])
+        for count, seen in discovery_windows(watched, dict.fromkeys(FOLLOWERS, 0.0)).items():
+            found["discovery-idle-share"][count].append(100 * seen["cpu_s"] / FOLLOW_S)
+            found["discovery-idle-bytes"][count].append(seen["bytes_out"] / FOLLOW_S)
     for length in LENGTHS:
         discovery = Helper("slopes_discovery.py", length)
         begun = discovery.ask()
@@ -432,9 +432,9 @@
         found["discovery-start-cpu"][length].append(1e3 * (told["cpu_s"] - begun["cpu_s"]) / FOLLOWERS[0])
         followers.close()
         discovery.close()
-    with following(1_000, 110) as (discovery, _):
-        for rate in RATES:
-            seen = discovery_window(discovery, rate, FOLLOW_S)
+    with contextlib.ExitStack() as stack:
+        watched = {rate: stack.enter_context(following(1_000, 110))[0] for rate in RATES}
+        for rate, seen in discovery_windows(watched, {rate: rate for rate in RATES}).items():
             found["discovery-rate-share"][rate].append(100 * seen["cpu_s"] / FOLLOW_S)
             found["discovery-rate-bytes"][rate].append(seen["bytes_out"] / FOLLOW_S)
     with following(4_000, 110) as (discovery, followers):
@@ -461,16 +461,18 @@
         discovery.close()
 
 
-def discovery_window(discovery: Helper, rate: float, seconds: float) -> dict[str, float]:
-    """Counts of a discovery at a rate of changes."""
-    discovery.ask("rate", per_s=rate)
-    begun = discovery.ask()
-    time.sleep(seconds)
-    told = discovery.ask()
-    discovery.ask("rate", per_s=0)
+def discovery_windows(watched: dict[float, Helper], rates: dict[float, float]) -> dict[float, dict[str, float]]:
+    """Counts of some discoveries, each at a rate of changes, all at once."""
+    for key, discovery in watched.items():
+        discovery.ask("rate", per_s=rates[key])
+    begun = {key: discovery.ask() for key, discovery in watched.items()}
+    time.sleep(FOLLOW_S)
+    told = {key: discovery.ask() for key, discovery in watched.items()}
+    for discovery in watched.values():
+        discovery.ask("rate", per_s=0)
     time.sleep(0.2)
-    return {name: told[name] - begun[name] for name in ("cpu_s", "bytes_out", "answers")} | {
-        "rev": max(told["rev"] - begun["rev"], 1)}
+    return {key: {name: told[key][name] - begun[key][name] for name in ("cpu_s", "bytes_out", "answers")} | {
+        "rev": max(told[key]["rev"] - begun[key]["rev"], 1)} for key in watched}
 
 
 # -- What is kept
