--- a/umberusher/capacity/roles.py
+++ b/umberusher/capacity/roles.py
@@ -35,9 +35,9 @@
 LUMP_CPU = Reading("broker-lump-cpu", ENTRIES, "ms", "core ms/broker")
 STALL = Reading("broker-lump-stall-32000", ENTRIES, "ms", "ms")
 MODULE = Reading("module-arrival-cpu", "engines told", "us", "core us/statement")
-STATEMENT = Reading("statement-cpu", OFFERED, "us", "core us/statement")
+STATEMENT = Reading("statement-cost", "clients with one call open each", "us", "core us/statement")
 STATEMENT_MOST = Reading("statement-most", "engines", "1/s", "statement/s/core")
-IDLE = Reading("client-idle-memory", QUIET, "kB", "KB/broker")
+IDLE = Reading("idle-connection", "connections", "bytes", "B/connection")
 IDLE_SHARE = Reading("client-idle-share", QUIET, "%", "% core/broker")
 ENGINE_BYTES = Reading("engine-statement-bytes", OFFERED, "B", "B/statement")
 ENGINE_MESSAGES = Reading("engine-statement-messages", OFFERED, "messages", "message/statement")
@@ -204,6 +204,8 @@
          "core us/statement", among_held, carried=SCOPE),
     Item(PROCESSOR, ORDINARY, "decisions for all its statements", "core/broker", lambda s: among_held(s) * rate(s),
          "broker_cores", SCOPE, SECOND_LOOP),
+    Item(PROCESSOR, ORDINARY, "all of its statements on sockets, by a closed loop of 64 before six engines",
+         "core/broker", lambda s: s.cost(STATEMENT) * rate(s), "broker_cores", "", SECOND_LOOP),
     Item(PROCESSOR, ORDINARY, "all of its statements on sockets, by what a loop does at the most", "core/broker",
          lambda s: Estimate(rate(s)) / s.cost(STATEMENT_MOST), "broker_cores", "", SECOND_LOOP),
     Item(PROCESSOR, ORDINARY, "its client connections, all quiet", "% core/broker",
@@ -223,7 +225,7 @@
     Item(MEMORY, ORDINARY, "for control: all of a broker without clients", "MB/broker", listed(CONTROL_MEMORY),
          "control_memory", DIRECTORY, "a directory that is smaller"),
     Item(MEMORY, ORDINARY, "its client connections, all quiet, beside that", "MB/broker",
-         lambda s: s.cost(IDLE, clients(s) * A_BROKER), carried="buffers given back while quiet"),
+         lambda s: s.cost(IDLE, clients(s) * A_BROKER) * clients(s), carried="buffers given back while quiet"),
     Item(TIME, ANEW, "until it is ready", "s", listed(READY), "ready_within", POLL, LIST_HELD),
     Item(STATE, ANEW, "brokers that became ready, of four at once", "broker",
          real("real brokers ready", "brokers", "broker"), carried=POLL),
@@ -325,10 +327,10 @@
          carried="hot restart passes them on, where it is the same machine"),
     Item(STATE, START, "made anew", "connection", planned(lambda s: clients(s) * region(s)),
          carried="", missing="a pace at which clients come back: not in the protocol"),
-    Item(MEMORY, ORDINARY, "quiet", "KB/connection", lambda s: s.cost(IDLE, clients(s) * A_BROKER) / clients(s),
+    Item(MEMORY, ORDINARY, "quiet", "KB/connection", lambda s: s.cost(IDLE, clients(s) * A_BROKER),
          carried="buffers given back while quiet"),
-    Item(PROCESSOR, ORDINARY, "a statement on sockets, six engines that answer at once", "core us/statement",
-         lambda s: s.cost(STATEMENT, rate(s) * A_BROKER), carried="the loop, six stages"),
+    Item(PROCESSOR, ORDINARY, "a statement on sockets, a closed loop of 64 before six engines", "core us/statement",
+         lambda s: s.cost(STATEMENT), carried="the loop, six stages"),
 ))
 
 TOOLS = Role("tools", "operators' tools", (
--- a/umberusher/capacity/sums.py
+++ b/umberusher/capacity/sums.py
@@ -139,7 +139,7 @@
         return max(others, key=lambda key: self.measured[key].at, default=name)
 
     def cost(self, reading: Reading, size: Quantity | float | None = None) -> Estimate:
-        """What a measurement gives at a size, in the units of what it counts by; None: it has one point.
+        """What a measurement gives at a size, in the units of what it counts by; None: at its largest.
 
         UnitError where its file measures in another unit, or by something else, than is read here.
         """
@@ -150,7 +150,7 @@
         for told, wanted, name in ((found.unit, reading.raw, "unit"), (found.by, reading.by, "by")):
             if told != wanted:
                 raise UnitError(f"{key}: {name}: is {told!r}, {wanted!r} is read here")
-        x = found.points[0][0] if size is None else size.value if isinstance(size, Quantity) else size
+        x = found.points[-1][0] if size is None else size.value if isinstance(size, Quantity) else size
         for away, why in found.unreached:
             if abs(away - x) <= NEAR * max(away, x):
                 return Estimate(None, Basis.RAN, (key,), (), why)
