--- a/umberusher/capacity/roles.py
+++ b/umberusher/capacity/roles.py
@@ -30,7 +30,6 @@
 CONTROL_MEMORY = Reading("broker-memory-resident", LISTED, "MB", "MB/broker")
 READY = Reading("broker-start-ready", LISTED, "s", "s")
 START_CPU = Reading("broker-start-cpu", LISTED, "s", "core s/broker")
-START_BYTES = Reading("broker-start-bytes", LISTED, "B", "B/broker")
 SUCCESSOR = Reading("hot-restart-ready", LISTED, "s", "s")
 LUMP_CPU = Reading("broker-lump-cpu", ENTRIES, "ms", "core ms/broker")
 STALL = Reading("broker-lump-stall-32000", ENTRIES, "ms", "ms")
@@ -41,7 +40,7 @@
 IDLE_SHARE = Reading("client-idle-share", QUIET, "%", "% core/broker")
 ENGINE_BYTES = Reading("engine-statement-bytes", OFFERED, "B", "B/statement")
 ENGINE_MESSAGES = Reading("engine-statement-messages", OFFERED, "messages", "message/statement")
-LIST_BYTES = Reading("discovery-start-bytes", LISTED, "B", "B/broker")
+LIST_BYTES = Reading("broker-start-bytes", LISTED, "B", "B/broker")  # till it waits for news: one list, where it holds
 LIST_CPU = Reading("discovery-start-cpu", LISTED, "ms", "core ms/broker")
 LUMP_BYTES = Reading("discovery-lump-bytes", ENTRIES, "B", "B/broker")
 TELL_LUMP = Reading("discovery-lump-cpu", ENTRIES, "ms", "core ms/broker")
@@ -185,9 +184,9 @@
          lambda s: s.cost(LUMP_BYTES, s.plan.lump) * lumps(s), "control_bytes", POLL, PIECES),
     Item(MESSAGES, APART, "changes told at once", "change", planned(missed), carried=POLL),
     Item(MESSAGES, APART, "bytes of them", "KB/broker", lambda s: s.cost(LUMP_BYTES, missed(s)), carried=POLL),
-    Item(MESSAGES, ANEW, "bytes of the first list", "MB/broker", listed(LIST_BYTES), "list_most",
+    Item(MESSAGES, ANEW, "bytes of discovery until it waits for news: the list", "MB/broker", listed(LIST_BYTES),
+         "list_most",
          "`board.list_limit`, by a broker's memory", "a list in pieces: not in the protocol"),
-    Item(MESSAGES, ANEW, "bytes of discovery until it waits for news", "MB/broker", listed(START_BYTES), carried=POLL),
     Item(MESSAGES, ANEW, "time of the first list at no more than a broker's bytes for control", "s",
          lambda s: s.cost(LIST_BYTES, s.plan.engines) / s.plan.control_bytes, "ready_within", "", PIECES),
     Item(PROCESSOR, ORDINARY, "for control, in all", "% core/broker", listed(CONTROL), "control_processor", DIRECTORY,
@@ -241,6 +240,11 @@
          "a directory that is smaller"),
     Item(PROCESSOR, LUMP, "for control in all, four at once", "core s/broker",
          real("a lump: a real broker's processor time in all", "s", "core s/broker"), carried=DIRECTORY),
+    Item(PROCESSOR, LUMP, "for control over the stretch that a lump opens, four at once, largest", "% core/broker",
+         real("a lump: a real broker's processor time, largest", "% of a core", "% core/broker"), "control_processor",
+         DIRECTORY, CHANGE_GOES),
+    Item(MESSAGES, LUMP, "bytes of discovery over the stretch that a lump opens, four at once, largest", "KB/s/broker",
+         real("a lump: a real broker's control bytes", "KB/s", "KB/s/broker"), "control_bytes", POLL, PIECES),
     Item(MEMORY, LUMP, "less what is shared, four at once, largest", "MB/broker",
          real("a lump: a real broker's memory, largest", "MB", "MB/broker"), "control_memory", DIRECTORY,
          "a directory that is smaller"),
