--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -112,10 +112,14 @@
     assert found.load["stretch"] == 0.004 and found.real is None
 
 
-@pytest.mark.parametrize("name", ["small", "fleet"])
-def test_the_plans_that_are_kept_can_be_read(name):
-    found = plan.load(str(ROOT / "deploy" / "scale" / f"{name}.star"))
-    assert {each.kind for each in found.scenes} == set(plan.SCENES) and found.real
+@pytest.mark.parametrize("names", [["small"], ["fleet", "fleet-inputs"]])
+def test_the_plans_that_are_kept_can_be_read_and_hold_every_scene(names):
+    found = [plan.load(str(ROOT / "deploy" / "scale" / f"{name}.star")) for name in names]
+    assert {scene.kind for each in found for scene in each.scenes} == set(plan.SCENES) and found[0].real
+
+
+def test_the_plan_of_real_brokers_can_be_read():
+    assert plan.load(str(ROOT / "deploy" / "scale" / "real.star")).real["engines"] == 32_000
 
 
 # -- The same seed
@@ -198,6 +202,15 @@
         assert max(seen.worst_us.values()) <= 14_000_000
 
 
+def test_the_next_scene_loses_machines_that_have_brokers():
+    """A machine that was lost has none afterwards: polls are long, and nothing moves them back."""
+    scenes = [plan.Scene("control_lost", name, scene("control_lost", played=12.0, lasts=30.0, machines=3.0,
+                                                     own_addresses=float(own)).fields)
+              for own, name in enumerate(("first", "second"))]
+    seen = played(made(*scenes, control_machines=6))
+    assert seen["first"].without_word == 0 and seen["second"].without_word == 6
+
+
 def test_regions_that_were_apart_hear_of_all_changes_once_they_are_back():
     seen = one("regions_apart")
     well(seen)
