--- a/umberusher/capacity/roles.py
+++ b/umberusher/capacity/roles.py
@@ -13,10 +13,9 @@
 from umberusher.capacity.tables import Item, Role
 from umberusher.capacity.units import Quantity
 
-BEFORE = ".70bc7e5"  # measurements of the program before it was made for this size, kept beside those of now
 ORDINARY, RACK, ZONE, START = "ordinary", "a rack", "a zone at once", "all brokers of a region start"
 APART, LUMP, ANEW = "regions apart and back", "a lump", "its own start"
-THIRD_LOST = "a third of control lost"
+THIRD_LOST, ALL_LOST, ONE_LOST = "a third of control lost", "all control lost", "a control machine lost"
 STATE, MESSAGES, PROCESSOR, MEMORY, TIME = "state", "messages", "processor", "memory", "time"
 LISTED, ENTRIES, FOLLOW = "engines listed", "entries of a change", "brokers that follow it"
 OFFERED, QUIET = "statements a second offered", "quiet connections"
@@ -36,9 +35,9 @@
 LUMP_CPU = Reading("broker-lump-cpu", ENTRIES, "ms", "core ms/broker")
 STALL = Reading("broker-lump-stall-32000", ENTRIES, "ms", "ms")
 MODULE = Reading("module-arrival-cpu", "engines told", "us", "core us/statement")
-STATEMENT = Reading("statement-cpu", OFFERED, "us", "core us/statement")
+STATEMENT = Reading("statement-cost", "clients with one call open each", "us", "core us/statement")
 STATEMENT_MOST = Reading("statement-most", "engines", "1/s", "statement/s/core")
-IDLE = Reading("client-idle-memory", QUIET, "kB", "KB/broker")
+IDLE = Reading("idle-connection", "connections", "bytes", "B/connection")
 IDLE_SHARE = Reading("client-idle-share", QUIET, "%", "% core/broker")
 ENGINE_BYTES = Reading("engine-statement-bytes", OFFERED, "B", "B/statement")
 ENGINE_MESSAGES = Reading("engine-statement-messages", OFFERED, "messages", "message/statement")
@@ -152,7 +151,9 @@
 LIST_HELD = "a list that is fetched once and can be held"
 PIECES = "a list in pieces or compressed, or a zone's change told as one: not in the protocol"
 ADDRESSES = "more than one address of discovery in the configuration"
+NO_WAY_ROUND = "a way round what is lost, as another region's control: not in the protocol, nor in the configuration"
 ADDRESSES_ASKED = "their address is asked again (`umberusher/discovery.py`)"
+KNOWN = "what was known goes on (`umberusher/discovery.py`)"
 CHOICE = "choice by load reports (`decide.py`)"
 LOOKS = "a look a second at each that is held (`Gateway._probe`)"
 SECOND_LOOP = "a second loop a broker, or more brokers"
@@ -203,6 +204,8 @@
          "core us/statement", among_held, carried=SCOPE),
     Item(PROCESSOR, ORDINARY, "decisions for all its statements", "core/broker", lambda s: among_held(s) * rate(s),
          "broker_cores", SCOPE, SECOND_LOOP),
+    Item(PROCESSOR, ORDINARY, "all of its statements on sockets, by a closed loop of 64 before six engines",
+         "core/broker", lambda s: s.cost(STATEMENT) * rate(s), "broker_cores", "", SECOND_LOOP),
     Item(PROCESSOR, ORDINARY, "all of its statements on sockets, by what a loop does at the most", "core/broker",
          lambda s: Estimate(rate(s)) / s.cost(STATEMENT_MOST), "broker_cores", "", SECOND_LOOP),
     Item(PROCESSOR, ORDINARY, "its client connections, all quiet", "% core/broker",
@@ -222,7 +225,7 @@
     Item(MEMORY, ORDINARY, "for control: all of a broker without clients", "MB/broker", listed(CONTROL_MEMORY),
          "control_memory", DIRECTORY, "a directory that is smaller"),
     Item(MEMORY, ORDINARY, "its client connections, all quiet, beside that", "MB/broker",
-         lambda s: s.cost(IDLE, clients(s) * A_BROKER), carried="buffers given back while quiet"),
+         lambda s: s.cost(IDLE, clients(s) * A_BROKER) * clients(s), carried="buffers given back while quiet"),
     Item(TIME, ANEW, "until it is ready", "s", listed(READY), "ready_within", POLL, LIST_HELD),
     Item(STATE, ANEW, "brokers that became ready, of four at once", "broker",
          real("real brokers ready", "brokers", "broker"), carried=POLL),
@@ -254,12 +257,15 @@
          planned(lambda s: s.plan.brokers / s.plan.control_machines), carried=THEIRS),
     Item(STATE, THIRD_LOST, "brokers for each that is left", "broker/machine",
          planned(lambda s: s.plan.brokers / (s.plan.control_machines * LEFT)), carried=THEIRS),
-    Item(STATE, THIRD_LOST, "brokers that heard nothing while they were lost", "broker",
-         played("a third of control lost", "brokers without word for the whole time", "brokers", "broker"),
-         carried=ADDRESSES_ASKED),
-    Item(STATE, THIRD_LOST, "brokers without news, until their address is served again or SIGHUP names another",
-         "broker", planned(lambda s: s.plan.brokers * LOST), carried="what was known goes on",
-         missing=ADDRESSES),
+    *(Item(STATE, moment, f"brokers that heard nothing meanwhile{told}", "broker",
+           played(scene, "brokers without word for the whole time", "brokers", "broker"), carried=by, missing=ADDRESSES)
+      for scene, moment, told, by in (
+          ("one control machine lost", ONE_LOST, "", ADDRESSES_ASKED),
+          ("one lost, own addresses", ONE_LOST, ", where each machine has its own address", ""),
+          ("a third of control lost", THIRD_LOST, "", ADDRESSES_ASKED), ("all control lost", ALL_LOST, "", KNOWN),
+          ("regions_apart", APART, "", KNOWN))),
+    Item(STATE, THIRD_LOST, "brokers that hear nothing, where each machine has its own address", "broker",
+         planned(lambda s: s.plan.brokers * LOST), missing=ADDRESSES),
     Item(MESSAGES, ORDINARY, "answers to polls, at the most", "poll/s/machine",
          planned(lambda s: polls(s) * s.plan.brokers / s.plan.control_machines), carried=POLL),
     Item(MESSAGES, ORDINARY, "bytes told", "KB/s/machine",
@@ -321,10 +327,10 @@
          carried="hot restart passes them on, where it is the same machine"),
     Item(STATE, START, "made anew", "connection", planned(lambda s: clients(s) * region(s)),
          carried="", missing="a pace at which clients come back: not in the protocol"),
-    Item(MEMORY, ORDINARY, "quiet", "KB/connection", lambda s: s.cost(IDLE, clients(s) * A_BROKER) / clients(s),
+    Item(MEMORY, ORDINARY, "quiet", "KB/connection", lambda s: s.cost(IDLE, clients(s) * A_BROKER),
          carried="buffers given back while quiet"),
-    Item(PROCESSOR, ORDINARY, "a statement on sockets, six engines that answer at once", "core us/statement",
-         lambda s: s.cost(STATEMENT, rate(s) * A_BROKER), carried="the loop, six stages"),
+    Item(PROCESSOR, ORDINARY, "a statement on sockets, a closed loop of 64 before six engines", "core us/statement",
+         lambda s: s.cost(STATEMENT), carried="the loop, six stages"),
 ))
 
 TOOLS = Role("tools", "operators' tools", (
@@ -391,18 +397,32 @@
 
 
 
+def served_of(scene: str) -> Callable[[Sums], Estimate]:
+    """The part of a scene's statements that was served."""
+    served, *others = (played(scene, f"statements {word}", "statements", "statement")
+                       for word in ("served", "refused", "failed", "expired", "with its broker"))
+    return lambda s: served(s) / sum((each(s) for each in others), served(s))
+
+
 def of_scene(scene: str, moment: str) -> tuple[Item, ...]:
     """What is told of each scene of a scale run."""
+    # Where nothing could be told, times count from the return: what was changed meanwhile has a line of its own.
+    away = moment in (APART, ALL_LOST)
     return (
-        Item(TIME, moment, "until a change is in force at the last broker, 50th", "s",
+        Item(TIME, moment, f"until a change is in force at the last broker{', from the return on' * away}, 50th", "s",
              played(scene, "change in force at the last broker, 50th", "s", "s"), carried=POLL),
         Item(TIME, moment, "the same, 99th", "s",
              played(scene, "change in force at the last broker, 99th", "s", "s"), carried=POLL),
         Item(TIME, moment, "the same, largest", "s",
-             played(scene, "change in force at the last broker, largest", "s", "s"), "in_force_within", POLL,
-             ADDRESSES if "lost" in moment else PIECES),
+             played(scene, "change in force at the last broker, largest", "s", "s"),
+             "" if away else "in_force_within", POLL, ADDRESSES if "lost" in moment else PIECES),
+        *((Item(TIME, moment, "until a change that is made meanwhile is in force everywhere, at the least", "s",
+                planned(lambda s: s.plan.regions_apart), "in_force_within", "", NO_WAY_ROUND),) if away else ()),
+        # The scene of lumps plays them far closer together than a day has them: what its bytes come to a second is no
+        # figure of the size. A day's lumps are the broker's line.
         Item(MESSAGES, moment, "a broker's bytes for control, mean of all over the scene", "KB/s/broker",
-             played(scene, "control bytes of a broker, mean", "KB/s", "KB/s/broker"), "control_bytes", POLL, PIECES),
+             played(scene, "control bytes of a broker, mean", "KB/s", "KB/s/broker"),
+             "" if moment == LUMP else "control_bytes", POLL, PIECES),
         Item(MESSAGES, moment, "a machine for control at its worst second, bytes", "MB/s/machine",
              played(scene, "a control machine at its worst second, bytes", "MB/s", "MB/s/machine"), carried=POLL),
         Item(MESSAGES, moment, "a machine for control at its worst second, polls", "poll/s/machine",
@@ -410,8 +430,14 @@
              carried=POLL),
         Item(MESSAGES, moment, "attempts to what was told as gone", "attempt",
              played(scene, "attempts to what was told as gone", "attempts", "attempt"), carried=DRAINS),
+        Item(MESSAGES, moment, "statements served, of those that have ended", "%", served_of(scene),
+             carried="retry budget, ejection"),
+        Item(MESSAGES, moment, "statements refused", "statement",
+             played(scene, "statements refused", "statements", "statement"), carried="retry budget, ejection"),
         Item(MESSAGES, moment, "statements failed", "statement",
-             played(scene, "statements failed", "statements", "statement"), carried="retry budget"),
+             played(scene, "statements failed", "statements", "statement"), carried="retry budget, ejection"),
+        Item(MESSAGES, moment, "statements without an end", "statement",
+             played(scene, "statements without an end", "statements", "statement"), carried="`stages/book.py`"),
         Item(MESSAGES, moment, "rules broken", "1", played(scene, "rules broken", "breaches", "1"),
              carried="the checker's count"))
 
@@ -419,11 +445,12 @@
 FLEET = Role("fleet", "all brokers together, played", (
     *of_scene("ordinary", ORDINARY), *of_scene("lumps", LUMP), *of_scene("zone_lost", ZONE),
     *of_scene("region_start", START),
-    Item(TIME, START, "until a broker has its first list, largest", "s",
-         played("region_start", "start until the first list, largest", "s", "s"), "ready_within", POLL, PIECES),
+    # No budget: on the step clock neither the list's bytes nor its reading take any time.
+    Item(TIME, START, "until a broker has its first list, waits alone, largest", "s",
+         played("region_start", "start until the first list, largest", "s", "s"), carried=POLL),
     Item(STATE, START, "brokers not ready at the end", "broker",
          played("region_start", "brokers not ready", "brokers", "broker"), carried=POLL),
-    *of_scene("one control machine lost", "a control machine lost"), *of_scene("a third of control lost", THIRD_LOST),
-    *of_scene("all control lost", "all control lost"), *of_scene("regions_apart", APART)))
+    *of_scene("one control machine lost", ONE_LOST), *of_scene("a third of control lost", THIRD_LOST),
+    *of_scene("all control lost", ALL_LOST), *of_scene("regions_apart", APART)))
 
 ROLES = (BROKER, DISCOVERY, ENGINE, CLIENT, TOOLS, WATCHING, PRIMARY, FLEET)
