--- a/umberusher/scale/record.py
+++ b/umberusher/scale/record.py
@@ -35,7 +35,7 @@
     """The outer form of all measurements; ``point`` is the one figure that stands for the run."""
     return {"v": 1, "name": name, "role": "broker", "what": point["what"], "by": "brokers", "unit": point["unit"],
             "command": command, "commit": _git("rev-parse", "HEAD"),
-            "dirty": bool(_git("status", "--porcelain", "--", "umberusher", "deploy")),  # what is played, not what is kept
+            "dirty": bool(_git("status", "--porcelain", "--", "umberusher", "deploy")),  # not what is kept
             "clock": clock, "machine": machine(), "at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()), "rounds": 1,
             "points": [{"x": int(point["x"]), "values": [point["value"]]}], "fit": None, "plan": plan.name,
             "seed": int(plan.size["seed"]), "figures": figures, **more}
