--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -242,6 +242,21 @@
         plays.play(run_of(SLOWEST) | more, "x.json")
 
 
+def test_a_broker_that_was_watched_before_and_now_is_read_by_version_and_a_round_without_figures_is_told():
+    found = plays.watched({"plays": [
+        {"version": "before", "listed": 32_000, "plays": [{"ready_s": 1.0}, {"not_good": "not good within 15 s"}]},
+        {"version": "now", "listed": 32_000, "plays": [
+            {"ready_s": 1.0, "lump_kb_s": 7.0, "share": 0.3, "peak_mb": 40}, {"ready_s": 3.0, "lump_kb_s": 9.0},
+            {"ready_s": 2.0, "lump_kb_s": 8.0, "lump_wait_ms": "none"}]}]}, "x.json")
+    assert found["now"].figures == {"real: ready_s": (2.0, "s"), "real: lump_kb_s": (8.0, "KB/s")}
+    seen = Sums(capacity.plan(str(SIZE)), {}, {}, {"w": found["now"], f"w{BEFORE}": found["before"]})
+    asked = Seen("w", "real: ready_s", "s", "s")
+    assert seen.seen(asked).basis is Basis.RAN and seen.older(BEFORE).seen(asked).never == "not good within 15 s"
+    for wrong in ({"plays": [{}]}, {"plays": 3}, {"plays": [{"version": "now", "listed": "x", "plays": []}]}):
+        with pytest.raises(ValueError, match="x.json: plays: "):
+            plays.watched(wrong, "x.json")
+
+
 # -- The page
 
 COST = Reading("made-up", "engines listed", "us", "core us/statement/broker")
--- a/umberusher/capacity/plays.py
+++ b/umberusher/capacity/plays.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+import statistics
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -20,8 +21,32 @@
     """The figures of a run, by ``scene: name``, each with its unit, and the size it was played at."""
 
     figures: Mapping[str, tuple[float, str]]
-    brokers: float
+    brokers: float | None  # None where one real broker was watched
     engines: float
+    never: str = ""  # why there are none
+
+
+SUFFIXES = (("kb_s", "KB/s"), ("_mb", "MB"), ("_ms", "ms"), ("share", "% of a core"), ("_s", "s"))
+
+
+def watched(raw: Mapping[str, Any], where: str) -> dict[str, Play]:
+    """Real brokers of several versions watched in one run, by version: medians over rounds, units by their names' ends.
+
+    A version of which a round has no figures has none, and why. ValueError as for a play.
+    """
+    found = {}
+    try:
+        for each in raw["plays"]:
+            rounds = each["plays"]
+            never = next((str(one["not_good"]) for one in rounds if "not_good" in one), "")
+            names = [] if never else sorted(set.intersection(*map(set, rounds)))
+            figures = {f"{REAL}: {name}": (statistics.median(one[name] for one in rounds), unit) for name in names
+                       if (unit := next((unit for end, unit in SUFFIXES if name.endswith(end)), None))
+                       and all(type(one[name]) in (int, float) for one in rounds)}
+            found[str(each["version"])] = Play(figures, None, float(each["listed"]), never)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ValueError(f"{where}: plays: {type(error).__name__} {error}") from None
+    return found
 
 
 def play(raw: Mapping[str, Any], where: str) -> Play:
--- a/umberusher/capacity/roles.py
+++ b/umberusher/capacity/roles.py
@@ -30,9 +30,7 @@
 CONTROL_MEMORY = Reading("broker-memory-resident", LISTED, "MB", "MB/broker")
 READY = Reading("broker-start-ready", LISTED, "s", "s")
 START_CPU = Reading("broker-start-cpu", LISTED, "s", "core s/broker")
-SUCCESSOR = Reading("hot-restart-ready", LISTED, "s", "s")
 LUMP_CPU = Reading("broker-lump-cpu", ENTRIES, "ms", "core ms/broker")
-STALL = Reading("broker-lump-stall-32000", ENTRIES, "ms", "ms")
 MODULE = Reading("module-arrival-cpu", "engines told", "us", "core us/statement")
 STATEMENT = Reading("statement-cost", "clients with one call open each", "us", "core us/statement")
 STATEMENT_MOST = Reading("statement-most", "engines", "1/s", "statement/s/core")
@@ -135,6 +133,11 @@
     return played(REAL, figure, raw, unit, "scale-real")
 
 
+def watched(figure: str, raw: str, unit: str) -> Callable[[Sums], Estimate]:
+    """A figure of one real broker with the whole list, before and now in one run."""
+    return played(REAL, figure, raw, unit, "long-list")
+
+
 def listed(reading: Reading) -> Callable[[Sums], Estimate]:
     """What is measured with as many engines listed as the size has."""
     return lambda s: s.cost(reading, s.plan.engines)
@@ -147,6 +150,7 @@
 DRAINS = "drains (`Route.find`)"
 WHOLE = "one thread: a change is taken whole"
 CHANGE_GOES = "work for a change that goes with the change"
+LUMP_SPREAD = "a lump that is applied in parts, or one that is told in parts: not in the protocol"
 LIST_HELD = "a list that is fetched once and can be held"
 PIECES = "a list in pieces or compressed, or a zone's change told as one: not in the protocol"
 ADDRESSES = "more than one address of discovery in the configuration"
@@ -214,8 +218,6 @@
     Item(PROCESSOR, LUMP, "a day's changes, all in lumps, spread over the day", "% core/broker",
          lambda s: s.cost(LUMP_CPU, s.plan.lump) * lumps(s), "control_processor", DIRECTORY,
          CHANGE_GOES),
-    Item(TIME, LUMP, "a check's longest wait for its answer", "ms", lambda s: s.cost(STALL, s.plan.lump),
-         carried=WHOLE),
     Item(PROCESSOR, APART, "the changes missed", "core ms/broker", lambda s: s.cost(LUMP_CPU, missed(s)),
          carried=DIRECTORY),
     Item(PROCESSOR, ANEW, "the first list, list and decisions", "core ms/broker", listed(FIRST_LIST),
@@ -245,6 +247,13 @@
          DIRECTORY, CHANGE_GOES),
     Item(MESSAGES, LUMP, "bytes of discovery over the stretch that a lump opens, four at once, largest", "KB/s/broker",
          real("a lump: a real broker's control bytes", "KB/s", "KB/s/broker"), "control_bytes", POLL, PIECES),
+    Item(PROCESSOR, LUMP, "for control over the 5 s that a lump opens", "% core/broker",
+         watched("lump_share", "% of a core", "% core/broker"), "control_processor", DIRECTORY, LUMP_SPREAD),
+    Item(MESSAGES, LUMP, "bytes of discovery over the 5 s that a lump opens", "KB/s/broker",
+         watched("lump_kb_s", "KB/s", "KB/s/broker"), "control_bytes", POLL, PIECES),
+    Item(TIME, LUMP, "a check's longest wait for its answer", "ms", watched("lump_wait_ms", "ms", "ms"), carried=WHOLE),
+    Item(MEMORY, LUMP, "the most that it has held, with what is shared", "MB/broker",
+         watched("peak_mb", "MB", "MB/broker"), "control_memory", DIRECTORY, "a directory that is smaller"),
     Item(MEMORY, LUMP, "less what is shared, four at once, largest", "MB/broker",
          real("a lump: a real broker's memory, largest", "MB", "MB/broker"), "control_memory", DIRECTORY,
          "a directory that is smaller"),
@@ -371,7 +380,8 @@
          "`Route.remember`", "ids of engines that have gone, kept by time"),
     Item(MESSAGES, ANEW, "hot restart: bytes of the list that is passed on", "MB/broker", listed(LIST_BYTES),
          "greeting_most", "`hot_restart.py`", "a list that is passed on in pieces"),
-    Item(TIME, ANEW, "hot restart: until the successor is ready", "s", listed(SUCCESSOR), "ready_within",
+    Item(TIME, ANEW, "hot restart: until the successor is ready", "s",
+         watched("successor_ready_s", "s", "s"), "ready_within",
          "`hot_restart.py`", "a list that is passed on in less time"),
     Item(MESSAGES, ORDINARY, "health: probes, at the most", "probe/s/broker", probes, carried=LOOKS),
     Item(TIME, ORDINARY, "health: ejection of an engine, at the most", "s",
--- a/umberusher/capacity/sums.py
+++ b/umberusher/capacity/sums.py
@@ -165,9 +165,11 @@
         if run is None:
             return Estimate(None, Basis.PLAYED, (), (key,))
         for played, wanted in ((run.brokers, self.plan.brokers), (run.engines, self.plan.engines)):
-            if abs(played - wanted.value) > NEAR * wanted.value:
+            if played is not None and abs(played - wanted.value) > NEAR * wanted.value:
                 return Estimate(None, Basis.PLAYED, (), (f"{key} at the size",))
         found = run.figures.get(seen.figure)
+        if run.never:
+            return Estimate(None, Basis.RAN, (key,), (), run.never)
         if found is None:
             return Estimate(None, Basis.PLAYED, (), (f"{key}: {seen.figure}",))
         value, unit = found
--- a/umberusher/capacity/tables.py
+++ b/umberusher/capacity/tables.py
@@ -177,7 +177,7 @@
     for key in sorted(measured):
         each, run = measured[key], plays.get(key)
         commit = each.commit[:8] + (" and changes" if each.dirty else "")
-        if run:
+        if run and run.brokers is not None:
             clocks = sorted({"wall" if name.startswith(f"{REAL}: ") else "step" for name in run.figures})
             rows.append((f"`{key}`", f"a scale run of {run.engines:,.0f} engines", f"brokers: {run.brokers:,.0f}",
                          f"{len(run.figures)} figures", "-", "-", "-", "-", " and ".join(clocks), commit,
--- a/umberusher/commands/capacity.py
+++ b/umberusher/commands/capacity.py
@@ -9,7 +9,7 @@
 from umberusher import decide, discovery, hot_restart
 from umberusher.capacity import plan as plans
 from umberusher.capacity.plan import Plan, PlanError
-from umberusher.capacity.plays import Play, play
+from umberusher.capacity.plays import Play, play, watched
 from umberusher.capacity.roles import ROLES
 from umberusher.capacity.slopes import Measurement, measurement
 from umberusher.capacity.sums import BEFORE, Sums
@@ -58,6 +58,9 @@
                 raise ValueError(f"{path}: name: is {one.name!r}, and the file has another")
             if "figures" in raw:
                 plays[key] = play(raw, str(path))
+            if "plays" in raw:  # before and now in one run
+                plays |= {key + {"now": "", "before": BEFORE}.get(version, f".{version}"): run
+                          for version, run in watched(raw, str(path)).items()}
             found[key] = one
         except (OSError, ValueError) as error:  # of json too
             told = str(error) if str(error).startswith(str(path)) else f"{path}: {error}"
