--- a/umberusher/capacity/plays.py
+++ b/umberusher/capacity/plays.py
@@ -1,4 +1,4 @@
-"""A scale run's record beside its outer form: the figures of each scene, and whether they are what was played.
+"""Records that hold more than one figure a size: scale runs by scene, and real brokers watched before and now.
 
 Owns the record's checks. On the step clock a run's digest is that of its figures: one that was changed by hand shows.
 """
