--- a/umberusher/capacity/roles.py
+++ b/umberusher/capacity/roles.py
@@ -30,10 +30,7 @@
 CONTROL_MEMORY = Reading("broker-memory-resident", LISTED, "MB", "MB/broker")
 READY = Reading("broker-start-ready", LISTED, "s", "s")
 START_CPU = Reading("broker-start-cpu", LISTED, "s", "core s/broker")
-START_BYTES = Reading("broker-start-bytes", LISTED, "B", "B/broker")
-SUCCESSOR = Reading("hot-restart-ready", LISTED, "s", "s")
 LUMP_CPU = Reading("broker-lump-cpu", ENTRIES, "ms", "core ms/broker")
-STALL = Reading("broker-lump-stall-32000", ENTRIES, "ms", "ms")
 MODULE = Reading("module-arrival-cpu", "engines told", "us", "core us/statement")
 STATEMENT = Reading("statement-cost", "clients with one call open each", "us", "core us/statement")
 STATEMENT_MOST = Reading("statement-most", "engines", "1/s", "statement/s/core")
@@ -41,7 +38,7 @@
 IDLE_SHARE = Reading("client-idle-share", QUIET, "%", "% core/broker")
 ENGINE_BYTES = Reading("engine-statement-bytes", OFFERED, "B", "B/statement")
 ENGINE_MESSAGES = Reading("engine-statement-messages", OFFERED, "messages", "message/statement")
-LIST_BYTES = Reading("discovery-start-bytes", LISTED, "B", "B/broker")
+LIST_BYTES = Reading("broker-start-bytes", LISTED, "B", "B/broker")  # till it waits for news: one list, where it holds
 LIST_CPU = Reading("discovery-start-cpu", LISTED, "ms", "core ms/broker")
 LUMP_BYTES = Reading("discovery-lump-bytes", ENTRIES, "B", "B/broker")
 TELL_LUMP = Reading("discovery-lump-cpu", ENTRIES, "ms", "core ms/broker")
@@ -136,6 +133,11 @@
     return played(REAL, figure, raw, unit, "scale-real")
 
 
+def watched(figure: str, raw: str, unit: str) -> Callable[[Sums], Estimate]:
+    """A figure of one real broker with the whole list, before and now in one run."""
+    return played(REAL, figure, raw, unit, "long-list")
+
+
 def listed(reading: Reading) -> Callable[[Sums], Estimate]:
     """What is measured with as many engines listed as the size has."""
     return lambda s: s.cost(reading, s.plan.engines)
@@ -148,6 +150,7 @@
 DRAINS = "drains (`Route.find`)"
 WHOLE = "one thread: a change is taken whole"
 CHANGE_GOES = "work for a change that goes with the change"
+LUMP_SPREAD = "a lump that is applied in parts, or one that is told in parts: not in the protocol"
 LIST_HELD = "a list that is fetched once and can be held"
 PIECES = "a list in pieces or compressed, or a zone's change told as one: not in the protocol"
 ADDRESSES = "more than one address of discovery in the configuration"
@@ -185,9 +188,9 @@
          lambda s: s.cost(LUMP_BYTES, s.plan.lump) * lumps(s), "control_bytes", POLL, PIECES),
     Item(MESSAGES, APART, "changes told at once", "change", planned(missed), carried=POLL),
     Item(MESSAGES, APART, "bytes of them", "KB/broker", lambda s: s.cost(LUMP_BYTES, missed(s)), carried=POLL),
-    Item(MESSAGES, ANEW, "bytes of the first list", "MB/broker", listed(LIST_BYTES), "list_most",
+    Item(MESSAGES, ANEW, "bytes of discovery until it waits for news: the list", "MB/broker", listed(LIST_BYTES),
+         "list_most",
          "`board.list_limit`, by a broker's memory", "a list in pieces: not in the protocol"),
-    Item(MESSAGES, ANEW, "bytes of discovery until it waits for news", "MB/broker", listed(START_BYTES), carried=POLL),
     Item(MESSAGES, ANEW, "time of the first list at no more than a broker's bytes for control", "s",
          lambda s: s.cost(LIST_BYTES, s.plan.engines) / s.plan.control_bytes, "ready_within", "", PIECES),
     Item(PROCESSOR, ORDINARY, "for control, in all", "% core/broker", listed(CONTROL), "control_processor", DIRECTORY,
@@ -202,8 +205,10 @@
          "work for an arrival that goes with the scope"),
     Item(PROCESSOR, ORDINARY, "an arrival, decisions alone, 6,250 a second, of as many engines as it holds",
          "core us/statement", among_held, carried=SCOPE),
-    Item(PROCESSOR, ORDINARY, "decisions for all its statements", "core/broker", lambda s: among_held(s) * rate(s),
-         "broker_cores", SCOPE, SECOND_LOOP),
+    Item(PROCESSOR, ORDINARY, "decisions for all its statements, by an arrival at 1,600 a second", "core/broker",
+         lambda s: s.cost(ARRIVAL, s.plan.engines) * rate(s), "broker_cores", SCOPE, SECOND_LOOP),
+    Item(PROCESSOR, ORDINARY, "decisions for all its statements, by one at 6,250 a second", "core/broker",
+         lambda s: among_held(s) * rate(s), "broker_cores", SCOPE, SECOND_LOOP),
     Item(PROCESSOR, ORDINARY, "all of its statements on sockets, by a closed loop of 64 before six engines",
          "core/broker", lambda s: s.cost(STATEMENT) * rate(s), "broker_cores", "", SECOND_LOOP),
     Item(PROCESSOR, ORDINARY, "all of its statements on sockets, by what a loop does at the most", "core/broker",
@@ -215,8 +220,6 @@
     Item(PROCESSOR, LUMP, "a day's changes, all in lumps, spread over the day", "% core/broker",
          lambda s: s.cost(LUMP_CPU, s.plan.lump) * lumps(s), "control_processor", DIRECTORY,
          CHANGE_GOES),
-    Item(TIME, LUMP, "a check's longest wait for its answer", "ms", lambda s: s.cost(STALL, s.plan.lump),
-         carried=WHOLE),
     Item(PROCESSOR, APART, "the changes missed", "core ms/broker", lambda s: s.cost(LUMP_CPU, missed(s)),
          carried=DIRECTORY),
     Item(PROCESSOR, ANEW, "the first list, list and decisions", "core ms/broker", listed(FIRST_LIST),
@@ -241,6 +244,18 @@
          "a directory that is smaller"),
     Item(PROCESSOR, LUMP, "for control in all, four at once", "core s/broker",
          real("a lump: a real broker's processor time in all", "s", "core s/broker"), carried=DIRECTORY),
+    Item(PROCESSOR, LUMP, "for control over the stretch that a lump opens, four at once, largest", "% core/broker",
+         real("a lump: a real broker's processor time, largest", "% of a core", "% core/broker"), "control_processor",
+         DIRECTORY, CHANGE_GOES),
+    Item(MESSAGES, LUMP, "bytes of discovery over the stretch that a lump opens, four at once, largest", "KB/s/broker",
+         real("a lump: a real broker's control bytes", "KB/s", "KB/s/broker"), "control_bytes", POLL, PIECES),
+    Item(PROCESSOR, LUMP, "for control over the 5 s that a lump opens", "% core/broker",
+         watched("lump_share", "% of a core", "% core/broker"), "control_processor", DIRECTORY, LUMP_SPREAD),
+    Item(MESSAGES, LUMP, "bytes of discovery over the 5 s that a lump opens", "KB/s/broker",
+         watched("lump_kb_s", "KB/s", "KB/s/broker"), "control_bytes", POLL, PIECES),
+    Item(TIME, LUMP, "a check's longest wait for its answer", "ms", watched("lump_wait_ms", "ms", "ms"), carried=WHOLE),
+    Item(MEMORY, LUMP, "the most that it has held, with what is shared", "MB/broker",
+         watched("peak_mb", "MB", "MB/broker"), "control_memory", DIRECTORY, "a directory that is smaller"),
     Item(MEMORY, LUMP, "less what is shared, four at once, largest", "MB/broker",
          real("a lump: a real broker's memory, largest", "MB", "MB/broker"), "control_memory", DIRECTORY,
          "a directory that is smaller"),
@@ -367,7 +382,8 @@
          "`Route.remember`", "ids of engines that have gone, kept by time"),
     Item(MESSAGES, ANEW, "hot restart: bytes of the list that is passed on", "MB/broker", listed(LIST_BYTES),
          "greeting_most", "`hot_restart.py`", "a list that is passed on in pieces"),
-    Item(TIME, ANEW, "hot restart: until the successor is ready", "s", listed(SUCCESSOR), "ready_within",
+    Item(TIME, ANEW, "hot restart: until the successor is ready", "s",
+         watched("successor_ready_s", "s", "s"), "ready_within",
          "`hot_restart.py`", "a list that is passed on in less time"),
     Item(MESSAGES, ORDINARY, "health: probes, at the most", "probe/s/broker", probes, carried=LOOKS),
     Item(TIME, ORDINARY, "health: ejection of an engine, at the most", "s",
