Bound the values of a call that are read one by one

Cause: unknown fields and the map of fields are read value by value in Python, up to a million values in a frame of 1 MiB: 288 ms for empty structs, 53 ms for 75,000 entries. Fix: at most 4,096 values in unknown fields and 1,024 entries of the map (calls have a dozen); more is a protocol error that the client is answered. Tests: test_decode_call_rejects_unknown_field_of_too_many_values and test_decode_call_rejects_map_of_too_many_entries; without the limits the calls decode.

--- a/tests/protocol/test_thrift.py
+++ b/tests/protocol/test_thrift.py
@@ -75,3 +75,39 @@
         thrift.encode_answer("execute", 5, b"a\n", {}, True)
         == struct.pack(">i", len(answer)) + answer
     )
+
+
+def call_with_unknown_field(kind: int, value: bytes) -> bytes:
+    head = struct.pack(">I", 0x80010001) + text("execute") + struct.pack(">i", 5)
+    return head + struct.pack(">bh", kind, 9) + value + b"\0"
+
+
+@pytest.mark.parametrize(
+    ("kind", "element"),
+    [
+        (thrift.BOOL, b"\1"),
+        (thrift.STRING, b"\0\0\0\0"),
+        (thrift.STRUCT, b"\0"),
+        (thrift.LIST, struct.pack(">bi", thrift.BOOL, 0)),
+    ],
+)
+def test_decode_call_rejects_unknown_field_of_too_many_values(kind, element):
+    """Each value is skipped in Python: a list of a million of them held the loop for 0.3 s."""
+    count = thrift.MAX_SKIPPED_VALUES
+    value = struct.pack(">bi", kind, count) + element * count
+    found = thrift.decode_call(call_with_unknown_field(thrift.LIST, value))
+    assert (found.seqid, found.reason) == (5, "too many unknown values")
+
+
+def test_decode_call_skips_unknown_list_within_the_limit():
+    count = thrift.MAX_SKIPPED_VALUES - 1
+    value = struct.pack(">bi", thrift.BOOL, count) + b"\1" * count
+    found = thrift.decode_call(call_with_unknown_field(thrift.LIST, value))
+    assert found.reason == "execute lacks an argument"
+
+
+def test_decode_call_rejects_map_of_too_many_entries():
+    within = {f"{n}": "" for n in range(thrift.MAX_MAP_ENTRIES)}
+    assert thrift.decode_call(execute(5, within, b"")[4:]) == thrift.Execute(5, within, b"")
+    found = thrift.decode_call(execute(5, within | {"more": ""}, b"")[4:])
+    assert (found.seqid, found.reason) == (5, "too many entries")
--- a/umberusher/protocol/thrift.py
+++ b/umberusher/protocol/thrift.py
@@ -18,6 +18,10 @@
 MAX_FRAME_BYTES = 1 << 20
 # Maximum nesting depth of unknown fields.
 MAX_NESTING = 8
+# Maximum number of values in all unknown fields of a call; each is read in Python.
+MAX_SKIPPED_VALUES = 4_096
+# Maximum number of entries of a call's map of fields, of which calls have about a dozen.
+MAX_MAP_ENTRIES = 1_024
 # Maximum number of characters of an unknown method's name that are quoted in a log line.
 MAX_QUOTED_CHARACTERS = 40
 
@@ -111,6 +115,7 @@
     def __init__(self, data: bytes) -> None:
         self.data = data
         self.position = 0
+        self.skipped_values = 0
 
     def read_bytes(self, size: int) -> bytes:
         if size < 0 or self.position + size > len(self.data):
@@ -152,6 +157,8 @@
         count = self.count(_MIN_PAIR_BYTES)
         if count and (key_type, value_type) != (STRING, STRING):
             raise _MalformedError("expected a map of text to text")
+        if count > MAX_MAP_ENTRIES:
+            raise _MalformedError("too many entries")
         data = self.data
         position = self.position
         end = len(data)
@@ -172,6 +179,9 @@
         """Skip a value of an unknown field."""
         if not depth:
             raise _MalformedError("nested too deep")
+        self.skipped_values += 1
+        if self.skipped_values > MAX_SKIPPED_VALUES:
+            raise _MalformedError("too many unknown values")
         if kind in _FIXED_WIDTHS:
             self.read_bytes(_FIXED_WIDTHS[kind])
         elif kind == STRING:
