Parse the fields of an engine's reply once, when its page is complete

Cause: next_reply parsed all fields of a line of up to 4 KB again for each piece of the page behind it. Test: test_next_reply_parses_the_fields_once_when_the_page_arrives_in_pieces counted one parse for each piece before.

--- a/tests/protocol/test_engine.py
+++ b/tests/protocol/test_engine.py
@@ -60,3 +60,16 @@
 def test_page_numbers_are_0_when_absent_or_no_number(text):
     assert engine.page_count({"count": text}) == engine.page_number({"pos": text}) == 0
     assert engine.page_count({}) == engine.page_number({}) == 0
+
+
+def test_next_reply_parses_the_fields_once_when_the_page_arrives_in_pieces(monkeypatch):
+    """The fields of a line were parsed again for each piece of the page behind it."""
+    parsed = []
+    parse_fields = engine._parse_fields
+    monkeypatch.setattr(engine, "_parse_fields", lambda t: parsed.append(t) or parse_fields(t))
+    ring = RingBuffer(10_000)
+    reply = None
+    for value in b"q1 HIT count=1 3\r\na\tb\r\n":
+        ring.write(bytes((value,)))
+        reply = engine.next_reply(ring)
+    assert (reply.body, parsed) == (b"a\tb", ["count=1"])
--- a/umberusher/protocol/engine.py
+++ b/umberusher/protocol/engine.py
@@ -24,8 +24,9 @@
 # Maximum length of the part of a malformed field that is quoted in a log line.
 MAX_QUOTED_CHARACTERS = 20
 
-_COLUMN = rb"[^\t\n\x00-\x08\x0b-\x1f\x7f]*"
-_ROWS = re.compile(rb"(?:%b\t%b\t%b\n)*" % (_COLUMN, _COLUMN, _COLUMN))
+# Possessive, so that a page of any content is scanned once and needs no memory for backtracking.
+_COLUMN = rb"[^\t\n\x00-\x08\x0b-\x1f\x7f]*+"
+_ROWS = re.compile(rb"(?:%b\t%b\t%b\n)*+" % (_COLUMN, _COLUMN, _COLUMN))
 
 
 class ReplyKind(StrEnum):
@@ -172,6 +173,9 @@
 def next_reply(ring: RingBuffer) -> Reply | None:
     """Read the next complete reply from the buffer; return None while more bytes are needed.
 
+    The fields are parsed only once the body is complete, however small the pieces in which it
+    arrives: the cost of an incomplete reply must not grow with the number of its fields.
+
     Raises:
         MalformedReplyError: The bytes violate the protocol.
     """
@@ -184,8 +188,8 @@
     kind = _KINDS.get(word)
     if kind is None or (length and not length.isdigit()):
         raise MalformedReplyError("line is not a valid reply")
-    fields = _parse_fields(field_text)
     if not length:
+        fields = _parse_fields(field_text)
         ring.discard(line_bytes + 2)
         return Reply(reply_id, kind, fields, b"")
     if len(length) > MAX_DIGITS + 1 or int(length) > MAX_BODY_BYTES:
@@ -193,6 +197,7 @@
     body_bytes = int(length)
     if len(ring) < line_bytes + 2 + body_bytes + 2:
         return None
+    fields = _parse_fields(field_text)
     ring.discard(line_bytes + 2)
     body = ring.take(body_bytes)
     if ring.take(2) != b"\r\n":
