Begin calls in the order of their arrival, however busy the loop was

Cause: a call was begun as soon as it was decoded, connection by connection, with all that lay on one of them at once. The order of reading is that of arrival only while sockets are looked at more often than loads of a key come. Fix: the loop reads all ready connections before any call is begun, and again after 5 ms of calls. A call has bounds of its arrival, from the polls, and narrower ones from the kernel's receive timestamps where a socket has them. A load that may have arrived before one of its key that was begun is rejected, which the protocol allows out of turn; so the order holds without timestamps, after a stop of the process and for deferred calls too. Why it works: to change places, the earlier load must lie unread while the later one is begun; then its lower bound is 60 ms or more before the other's upper bound.

Two tests looked at the moment of reading and are as strict now: one runs the queue after its direct call of _read; one asked for a connection to an engine "that may have been opened" for a call cancelled in the same read, and now requires that none is opened.

--- a/tests/broker/test_broker.py
+++ b/tests/broker/test_broker.py
@@ -461,6 +461,7 @@
         execute(9, {"method": "load", "rid": "9" * 16, "budget": "900", "obj": "k"}, b"select 1")
     )
     next(iter(rig.broker.frontend.clients)).connection._read()
+    rig.broker.frontend.call_queue.run()
     assert (
         connection.transport.state.value == "closed"
         and rig.broker.registry.requests["9" * 16].attempt.number == 0
--- a/tests/upstream/test_cancellation.py
+++ b/tests/upstream/test_cancellation.py
@@ -215,11 +215,14 @@
         1, {"method": "lookup", "rid": "a" * 16, "budget": "2000"}, b"select * from park_1.sites"
     )
     client.sock.send(call + interrupt(1))
-    rig.advance_ms(300)
-    engine = rig.accept("s-0")  # a connection may have been opened; no request is sent on it
-    rig.advance_ms(100)
-    assert b"REQ" not in engine.read() and not rig.broker.registry.requests and not client.read()
-    assert sum(rig.broker.registry.account.disconnected.values()) == 1
+    rig.until(lambda: sum(rig.broker.registry.account.disconnected.values()) == 1)
+    rig.advance_ms(400)
+    other = rig.client()
+    rig.send_request(other)
+    engine = rig.accept("s-0")  # the only connection: none was opened for the cancelled call
+    rig.expect(engine, b"REQ")
+    assert b"a" * 16 not in engine.read() and len(rig.broker.registry.requests) == 1
+    assert not client.read() and sum(rig.broker.registry.account.disconnected.values()) == 1
 
 
 @pytest.mark.parametrize("cancel", [False, True])
--- a/umberusher/broker/broker.py
+++ b/umberusher/broker/broker.py
@@ -94,6 +94,7 @@
         """
         self.config = config
         self.loop = loop or Loop()
+        self._unix_clock = unix_clock
         self.timeline = Timeline(self.loop.clock, unix_clock)
         self.now_ms = self.timeline.now_ms
         self.contracts = make_contracts(self.timeline) if make_contracts else None
@@ -177,6 +178,7 @@
             self.admission,
             self.now_ms,
             lambda: self.timeline.at_ms(self.loop.oldest_input_at_s),
+            self._unix_clock,
             self.readiness.accepts_clients,
             max_clients,
             RequestSchema(config.settings),
--- a/umberusher/frontend/call_decoder.py
+++ b/umberusher/frontend/call_decoder.py
@@ -83,7 +83,7 @@
 def decode_request(
     call: Execute, sink: ResponseSink, arrived_ms: float, schema: RequestSchema
 ) -> Request:
-    """Return the request of a call.
+    """Return the request of a call, with the group of tables that its statement names.
 
     Args:
         call: The call.
@@ -91,6 +91,25 @@
         arrived_ms: When the call arrived: its time budget counts from then.
         schema: The classes and value ranges that the settings allow.
 
+    Raises:
+        InvalidCallError: A field is missing, malformed or out of range, or the statement can't be
+            read.
+    """
+    request = decode_fields(call, sink, arrived_ms, schema)
+    try:
+        request.arrival.group = table_group(call.body)
+    except StatementError as error:
+        raise InvalidCallError(f"statement: {error.reason}") from error
+    return request
+
+
+def decode_fields(
+    call: Execute, sink: ResponseSink, arrived_ms: float, schema: RequestSchema
+) -> Request:
+    """Return the request of a call whose statement is not read.
+
+    The arguments are those of ``decode_request``.
+
     Raises:
         InvalidCallError: A field is missing, malformed or out of range.
     """
@@ -110,17 +129,12 @@
         raise InvalidCallError("field obj must name the key")
     if not _IDEMPOTENCY_KEY.fullmatch(fields.get("token", "")):
         raise InvalidCallError("field token can't be passed on")
-    try:
-        group = table_group(call.body)
-    except StatementError as error:
-        raise InvalidCallError(f"statement: {error.reason}") from error
     arrival = RequestArrived(
         request_id,
         cls.name,
         arrived_ms + budget_ms,
         work_ms=work_ms,
         memory_mb=memory_mb,
-        group=group,
         key=fields.get("obj") or None,
         is_retry=fields.get("again") == "1",
         tenant=fields.get("acct") or None,
--- a/umberusher/frontend/client_connection.py
+++ b/umberusher/frontend/client_connection.py
@@ -13,12 +13,20 @@
 from typing import TYPE_CHECKING, Protocol
 
 from umberusher.deadlines.account import FinalOutcome
-from umberusher.frontend.call_decoder import InvalidCallError, RequestSchema, decode_request
+from umberusher.frontend.call_decoder import (
+    InvalidCallError,
+    RequestSchema,
+    decode_fields,
+    decode_request,
+)
+from umberusher.frontend.call_queue import Arrival, CallQueue, PendingCall
 from umberusher.frontend.deferred_calls import Call, DeferredCalls
 from umberusher.frontend.handed_over_call import HandedOverCall
+from umberusher.frontend.key_arrivals import KeyArrivals
 from umberusher.frontend.response_sink import ThriftResponseSink, encode_rejection
-from umberusher.net.connection import Connection, RawMessage, State
+from umberusher.net.connection import RawMessage, State
 from umberusher.net.loop import Loop
+from umberusher.net.timed_connection import TimedConnection
 from umberusher.pipeline.admission import RequestAdmission
 from umberusher.pipeline.request import Request
 from umberusher.protocol import thrift
@@ -67,6 +75,8 @@
     Attributes:
         loop: The event loop.
         admission: Admits decoded requests.
+        call_queue: The calls that wait to be begun, in the order of arrival.
+        key_arrivals: Knows which calls may have arrived before those that were begun.
         schema: The classes and value ranges that calls must keep to.
         now_ms: The broker's clock.
         arrived_ms: Returns the earliest time at which input that is read now may have arrived.
@@ -79,6 +89,8 @@
 
     loop: Loop
     admission: RequestAdmission
+    call_queue: CallQueue
+    key_arrivals: KeyArrivals
     schema: RequestSchema
     now_ms: Callable[[], float]
     arrived_ms: Callable[[], float]
@@ -112,7 +124,8 @@
 
     Attributes:
         connection: The transport.
-        open_calls: By sequence id, the calls that must still be answered.
+        open_calls: By sequence id, the calls that must still be answered, also those that wait to
+            be begun.
         deferred_calls: Calls that wait under write backpressure; None until the first is deferred,
             so that an idle client holds no queue.
         forward_answer: Sends answers through the process that has received the connection; None
@@ -127,6 +140,8 @@
 
     __slots__ = (
         "_frontend",
+        "_pending_count",
+        "_queued_count",
         "_resume_planned",
         "active_ms",
         "connection",
@@ -139,12 +154,16 @@
         "retry_credit",
     )
 
-    def __init__(self, frontend: ClientOwner, connection: Connection) -> None:
+    def __init__(self, frontend: ClientOwner, connection: TimedConnection) -> None:
         """Serve a connection that has just been accepted."""
         self._frontend = frontend
+        # Calls in ``open_calls`` that were not begun, and calls in the call queue: these two differ
+        # by the withdrawn ones.
+        self._pending_count = 0
+        self._queued_count = 0
         self._resume_planned = False
         self.connection = connection
-        self.open_calls: dict[int, Request | HandedOverCall] = {}
+        self.open_calls: dict[int, Request | PendingCall | HandedOverCall] = {}
         self.deferred_calls: DeferredCalls | None = None
         self.forward_answer: Callable[[int, bytes], None] | None = None
         self.active_ms = frontend.now_ms()
@@ -164,6 +183,11 @@
         """Whether the client leaves so many answers unread that its next calls are deferred."""
         return len(self.connection.outbox) >= MAX_UNWRITTEN_ANSWERS
 
+    @property
+    def _is_queue_full(self) -> bool:
+        """Whether the queued calls, if each is answered at once, fill the limit of answers."""
+        return self._queued_count + len(self.connection.outbox) >= MAX_UNWRITTEN_ANSWERS
+
     def _process_input(self) -> None:
         """Process buffered input.
 
@@ -172,21 +196,26 @@
         self.active_ms = self._frontend.now_ms()
         while self.connection.state is State.OPEN:
             deferred = self.deferred_calls
+            if self._queued_count and self._is_queue_full:
+                self.connection.buffered_since_s = self.connection.received_after_s
+                return
             if deferred and not self.write_blocked:
-                arrived_ms, call = deferred.pop_first()
-                self._begin(call, arrived_ms)
+                arrival, call = deferred.pop_first()
+                self._accept_call(call, arrival)
             elif deferred and deferred.is_full(self._frontend.max_frame_bytes):
+                self.connection.buffered_since_s = self.connection.received_after_s
                 self._end_open_calls()
                 return
             else:
                 frame = thrift.next_frame(self.connection.inbound, self._frontend.max_frame_bytes)
                 if frame is None:
+                    self.connection.buffered_since_s = None
                     self._note_incomplete_call()
                     return
                 self._process_frame(frame)
 
     def _process_frame(self, frame: bytes | thrift.Malformed) -> None:
-        """Begin, defer or cancel the call that a frame holds."""
+        """Accept, defer or cancel the call that a frame holds."""
         self.has_called = True
         self.incomplete_since_ms = None
         self._frontend.large_calls.discard(self)
@@ -200,12 +229,20 @@
         elif self.write_blocked:
             self._defer(call)
         else:
-            self._begin(call, self._frontend.arrived_ms())
+            self._accept_call(call, self._arrival())
+
+    def _arrival(self) -> Arrival:
+        """Return when the frame that was just taken from the inbound ring arrived."""
+        received = self.connection
+        after_s = received.received_after_s
+        if received.last_byte_is_timed and not len(received.inbound):
+            after_s = received.received_by_s
+        return Arrival(self._frontend.arrived_ms(), after_s, received.received_by_s)
 
     def _defer(self, call: Call) -> None:
         if self.deferred_calls is None:
             self.deferred_calls = DeferredCalls()
-        self.deferred_calls.append(call, self._frontend.arrived_ms())
+        self.deferred_calls.append(call, self._arrival())
 
     def _interrupt(self, seqid: int) -> None:
         """Cancel a call, which may be deferred."""
@@ -221,10 +258,16 @@
         Prevents engines from working for a client that has disconnected. Clients that keep to the
         limit of open calls are not affected.
         """
-        requests = [call for call in self.open_calls.values() if isinstance(call, Request)]
-        if requests:
-            log.warning("client_reads_no_answers ended_calls=%d", len(requests))
-            self._frontend.admission.end_all(requests)
+        open_calls = list(self.open_calls.items())
+        requests = [call for _, call in open_calls if isinstance(call, Request)]
+        pending = [(seqid, call) for seqid, call in open_calls if isinstance(call, PendingCall)]
+        if requests or pending:
+            log.warning("client_reads_no_answers ended_calls=%d", len(requests) + len(pending))
+        for seqid, call in pending:
+            call.is_withdrawn = True
+            self._pending_count -= 1
+            self._reject(seqid, call.call)
+        self._frontend.admission.end_all(requests)
 
     def _note_incomplete_call(self) -> None:
         """Record since when a call is incomplete, and bound the number of large ones."""
@@ -243,10 +286,10 @@
 
     # -- Calls
 
-    def _begin(self, call: Call, arrived_ms: float) -> None:
-        """Begin a call that arrived at ``arrived_ms``."""
+    def _accept_call(self, call: Call, arrival: Arrival) -> None:
+        """Open a call, or answer it at once if it is no request."""
         if isinstance(call, thrift.Execute):
-            self._execute(call, arrived_ms)
+            self._open_call(call, arrival)
         elif isinstance(call, thrift.Check):
             accepts_clients = self._frontend.accepts_clients()
             self.write_answer(thrift.encode_answer("check", call.seqid, b"", {}, accepts_clients))
@@ -255,26 +298,65 @@
         else:
             self._reject_invalid(call.seqid, call.name, call.kind, call.reason)
 
-    def _execute(self, call: thrift.Execute, arrived_ms: float) -> None:
+    def _open_call(self, call: thrift.Execute, arrival: Arrival) -> None:
+        """Queue a call, to be begun in the order of arrival."""
         seqid = call.seqid
         if seqid in self.open_calls:
             # The client could not tell two answers with the same sequence id apart.
             self._close_malformed(f"sequence id {seqid} is open already")
             return
-        if len(self.open_calls) >= MAX_OPEN_CALLS:
+        pending = PendingCall(self, call, arrival)
+        self.open_calls[seqid] = pending
+        self._pending_count += 1
+        self._queued_count += 1
+        self._frontend.call_queue.add(pending)
+
+    def begin_call(self, pending: PendingCall) -> None:
+        """Admit the request of a call that was queued, or give it its final answer."""
+        self._queued_count -= 1
+        self._pending_count -= 1
+        self._admit(pending)
+        if self.deferred_calls or self.connection.buffered_since_s is not None:
+            self._resume_deferred()
+
+    def drop_call(self) -> None:
+        """Account for a call that was withdrawn, now that the queue has come to it."""
+        self._queued_count -= 1
+        self._resume_deferred()
+
+    def _withdraw(self, pending: PendingCall) -> None:
+        """Withdraw a call that was not begun, and count it as one whose client has left."""
+        pending.is_withdrawn = True
+        self._pending_count -= 1
+        sink = ThriftResponseSink(self, pending.call.seqid)
+        arrived_ms = pending.arrival.counted_from_ms
+        try:
+            request = decode_fields(pending.call, sink, arrived_ms, self._frontend.schema)
+        except InvalidCallError:
+            return
+        self._frontend.admission.registry.close(request)
+
+    def _admit(self, pending: PendingCall) -> None:
+        call = pending.call
+        seqid = call.seqid
+        if len(self.open_calls) - self._pending_count > MAX_OPEN_CALLS:
             # A flood of one client's calls would be queued ahead of all other clients' calls.
             log.warning("call_rejected reason=too_many_open_calls limit=%d", MAX_OPEN_CALLS)
-            self._count_final_answer(FinalOutcome.REJECTED, call)
-            retry_after_ms = self._frontend.admission.retry_after_ms
-            self.write_answer(encode_rejection(seqid, retry_after_ms))
+            self._reject(seqid, call)
             return
         sink = ThriftResponseSink(self, seqid)
         try:
+            arrived_ms = pending.arrival.counted_from_ms
             request = decode_request(call, sink, arrived_ms, self._frontend.schema)
         except InvalidCallError as error:
             self._count_final_answer(FinalOutcome.FAILED, call)
             self._reject_invalid(seqid, "execute", thrift.PROTOCOL_ERROR, error.reason)
             return
+        key = request.arrival.key
+        if key is not None and not self._is_in_order(key, request, pending.arrival):
+            log.warning("call_rejected reason=order_unknown key=%r", key)
+            self._reject(seqid, call)
+            return
         self.open_calls[seqid] = request
         request.arrival.retry_budget_eligible = self.retry_credit > 0
         self.retry_credit = max(self.retry_credit - 1, 0)
@@ -283,10 +365,31 @@
             request.origin = self.origin
         self._frontend.admission.admit(request)
 
+    def _is_in_order(self, key: str, request: Request, arrival: Arrival) -> bool:
+        """Return whether no later request of its order key was begun, as far as can be known."""
+        if not self._frontend.schema.classes[request.arrival.query_class].ordered_by_key:
+            return True
+        return self._frontend.key_arrivals.admits(key, self, arrival)
+
+    def _reject(self, seqid: int, call: thrift.Execute) -> None:
+        """Reject a call that has not become a request; the client may retry."""
+        self._count_final_answer(FinalOutcome.REJECTED, call)
+        self._answer_unadmitted(
+            seqid, encode_rejection(seqid, self._frontend.admission.retry_after_ms)
+        )
+
+    def _answer_unadmitted(self, seqid: int, data: bytes) -> None:
+        """Answer a call that has not become a request; it may be open."""
+        if seqid in self.open_calls:
+            self.answer(seqid, data)
+        else:
+            self.write_answer(data)
+
     def _reject_invalid(self, seqid: int, name: str, kind: int, reason: str) -> None:
         """Answer an invalid call with an exception."""
         log.warning("call_rejected reason=%r", reason)
-        self.write_answer(thrift.encode_application_exception(name, seqid, kind, reason))
+        data = thrift.encode_application_exception(name, seqid, kind, reason)
+        self._answer_unadmitted(seqid, data)
 
     def _close_malformed(self, reason: str) -> None:
         log.warning("client_closed reason=%r", reason)
@@ -323,8 +426,11 @@
         self.connection.read_pending()
 
     def _resume_deferred(self) -> None:
-        """Schedule the deferred calls once an answer is written: the loop reports no event."""
-        if self.deferred_calls and not self.write_blocked and not self._resume_planned:
+        """Schedule the calls that wait for room: the loop reports no event once there is some."""
+        if self._resume_planned or self._queued_count:
+            return
+        may_begin = self.deferred_calls and not self.write_blocked
+        if may_begin or self.connection.buffered_since_s is not None:
             self._resume_planned = True
             self._frontend.loop.call_later(0, self._process_deferred)
 
@@ -372,6 +478,8 @@
             and self.connection.is_flushed
             and not len(self.connection.inbound)
             and not self.deferred_calls
+            # The successor can't know when input that the kernel holds already has arrived.
+            and not self.connection.has_unread_input()
         )
 
     def hand_over(self, forward_answer: Callable[[int, bytes], None]) -> None:
@@ -424,8 +532,10 @@
         for call in disconnected:
             self._disconnect(call)
 
-    def _disconnect(self, call: Request | HandedOverCall) -> None:
-        if isinstance(call, HandedOverCall):
-            call.disconnect()
-        else:
+    def _disconnect(self, call: Request | PendingCall | HandedOverCall) -> None:
+        if isinstance(call, Request):
             self._frontend.admission.disconnect(call)
+        elif isinstance(call, PendingCall):
+            self._withdraw(call)
+        else:
+            call.disconnect()
--- a/umberusher/frontend/deferred_calls.py
+++ b/umberusher/frontend/deferred_calls.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from umberusher.frontend.call_queue import Arrival
 from umberusher.protocol import thrift
 
 Call = thrift.Execute | thrift.Check | thrift.Malformed
@@ -17,7 +18,7 @@
 class DeferredCall(NamedTuple):
     """A call that was read but not begun."""
 
-    arrived_ms: float
+    arrival: Arrival
     call: Call
 
 
@@ -43,9 +44,14 @@
         """Return whether the limit of calls, or of their statements' size, is reached."""
         return len(self._calls) >= MAX_DEFERRED_CALLS or self._statement_bytes >= max_bytes
 
-    def append(self, call: Call, arrived_ms: float) -> None:
+    @property
+    def first_arrival(self) -> Arrival:
+        """When the first call arrived; the queue must not be empty."""
+        return self._calls[0].arrival
+
+    def append(self, call: Call, arrival: Arrival) -> None:
         """Add a call at the end."""
-        self._calls.append(DeferredCall(arrived_ms, call))
+        self._calls.append(DeferredCall(arrival, call))
         self._statement_bytes += _statement_bytes(call)
 
     def pop_first(self) -> DeferredCall:
--- a/umberusher/frontend/thrift_frontend.py
+++ b/umberusher/frontend/thrift_frontend.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import logging
+import math
 import socket
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from umberusher.frontend.call_decoder import RequestSchema
+from umberusher.frontend.call_queue import CallQueue
 from umberusher.frontend.client_connection import ClientConnection, CloseReason
-from umberusher.net import connection
+from umberusher.frontend.key_arrivals import RETENTION_S, KeyArrivals
 from umberusher.net.connection import Connection, State
 from umberusher.net.listener import Listener
 from umberusher.net.loop import Loop
+from umberusher.net.receive_timestamps import ReceiveTimestamps
+from umberusher.net.timed_connection import TimedConnection
 from umberusher.pipeline.admission import RequestAdmission
 from umberusher.protocol import thrift
 
@@ -48,6 +52,8 @@
         clients: In the order in which they connected, so that sweeps are deterministic.
         closing: Connections in state CLOSING, the oldest first.
         large_calls: Clients with a large incomplete call.
+        call_queue: The calls that wait to be begun, in the order of arrival.
+        key_arrivals: The latest arrivals of order keys.
         peer_client_count: Clients of other processes of this broker.
         max_clients: Limit of clients of all processes of this broker together.
     """
@@ -58,6 +64,7 @@
         admission: RequestAdmission,
         now_ms: Callable[[], float],
         arrived_ms: Callable[[], float],
+        unix_clock: Callable[[], float],
         accepts_clients: Callable[[], bool],
         max_clients: int,
         schema: RequestSchema,
@@ -72,6 +79,7 @@
             now_ms: The broker's clock.
             arrived_ms: Returns the earliest time at which input that is read now may have
                 arrived: a request's time budget starts then.
+            unix_clock: Unix time in seconds.
             accepts_clients: Returns whether clients should use this broker.
             max_clients: Limit of connections.
             schema: The classes and value ranges that calls must keep to.
@@ -99,6 +107,10 @@
         self.listener: Listener | None = None
         self.additional_listeners: list[Listener] = []
         self.peer_client_count = 0
+        self.call_queue = CallQueue(loop.clock)
+        self.key_arrivals = KeyArrivals()
+        self._timestamps = ReceiveTimestamps(loop.clock, unix_clock)
+        loop.add_deferred_work(self.call_queue)
 
     # -- Listeners
 
@@ -131,7 +143,11 @@
         self.listener = self._listener_of(sock)
 
     def _listener_of(self, sock: socket.socket) -> Listener:
-        return Listener(self.loop, sock, ACCEPT_BATCH_SIZE, self._accept_client, self._evict)
+        def accept_client(accepted: socket.socket) -> None:
+            self._accept_client(accepted, listener.backlog_since_s)
+
+        listener = Listener(self.loop, sock, ACCEPT_BATCH_SIZE, accept_client, self._evict)
+        return listener  # noqa: RET504  (the function above needs the name)
 
     @property
     def _listeners(self) -> list[Listener]:
@@ -161,10 +177,14 @@
 
     # -- Clients
 
-    def _accept_client(self, sock: socket.socket) -> None:
+    def _accept_client(self, sock: socket.socket, established_after_s: float) -> None:
         """Serve an accepted socket, or close it if descriptors are short.
 
         Keeps free the descriptors that engines and discovery need.
+
+        Args:
+            sock: The socket.
+            established_after_s: The loop's time after which its client has connected.
         """
         own_max = max(
             self.max_clients - self.peer_client_count,
@@ -175,11 +195,13 @@
             log.warning("client_rejected reason=too_many_clients clients=%d", len(self.clients))
             sock.close()
             return
-        self._add_client(sock)
+        self._add_client(sock, established_after_s)
 
-    def _add_client(self, sock: socket.socket) -> ClientConnection:
+    def _add_client(self, sock: socket.socket, established_after_s: float) -> ClientConnection:
         inbound_bytes = self.max_frame_bytes + FRAME_HEADER_BYTES
-        transport = connection.adopt_socket(self.loop, sock, inbound_bytes, OUTBOUND_BYTES)
+        transport = TimedConnection(
+            self.loop, sock, inbound_bytes, OUTBOUND_BYTES, self._timestamps, established_after_s
+        )
         client = ClientConnection(self, transport)
         self.clients[client] = None
         self.loop.spawn(transport.serve())
@@ -195,7 +217,8 @@
             seqids: The sequence ids of the open calls.
             on_disconnect: Notifies the other process that the client no longer waits for a call.
         """
-        client = self._add_client(sock)
+        # Input may have arrived before the connection did.
+        client = self._add_client(sock, -math.inf)
         client.adopt_calls(seqids, on_disconnect)
         return client
 
@@ -252,6 +275,16 @@
             if reason == CloseReason.IDLE and client.connection.has_unread_input():
                 continue
             client.connection.close_gracefully(reason)
+        self._forget_arrivals()
+        self._timestamps.compare_clocks()
+
+    def _forget_arrivals(self) -> None:
+        """Forget the arrivals that no pending or deferred call can precede."""
+        if self.call_queue.is_pending:
+            return
+        deferred = [each.deferred_calls for each in self.clients if each.deferred_calls]
+        oldest_s = min((each.first_arrival.after_s for each in deferred), default=math.inf)
+        self.key_arrivals.forget_before(min(self.loop.clock() - RETENTION_S, oldest_s))
 
     # -- Shutdown
 
@@ -273,8 +306,8 @@
 
     @property
     def is_drained(self) -> bool:
-        """Whether no client is left and no connection is closing."""
-        return not self.clients and not self.closing
+        """Whether no client is left, no call waits and no connection is closing."""
+        return not self.clients and not self.closing and not self.call_queue.is_pending
 
     def close(self) -> None:
         """Close the listeners and all connections."""
@@ -285,6 +318,7 @@
         transports = [client.connection for client in self.clients]
         for transport in [*transports, *self.closing]:
             transport.close("the broker shuts down")
+        self.loop.remove_deferred_work(self.call_queue)
 
 
 def _open_socket(address: tuple[str, int]) -> socket.socket:
--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -407,7 +407,7 @@
             self.close("failed or closed by the peer while the input buffer was full")
             return False
         try:
-            count = self.inbound.receive_from(self.sock)
+            count = self._receive()
         except (BlockingIOError, InterruptedError):
             return False
         except OSError as error:
@@ -419,6 +419,10 @@
         self._call_hook(self.on_data)
         return True
 
+    def _receive(self) -> int:
+        """Read from the socket once and return the count; 0 at the end of input."""
+        return self.inbound.receive_from(self.sock)
+
     def _discard_input(self) -> None:
         """Drop input while closing: it gets no answer, and unread it would cause a reset."""
         try:
@@ -518,10 +522,15 @@
     return Connection(loop, sock, CONNECTING, max_inbound_bytes, max_outbound_bytes)
 
 
+def prepare_socket(sock: socket.socket) -> None:
+    """Set the options of a socket that was accepted."""
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 def adopt_socket(
     loop: Loop, sock: socket.socket, max_inbound_bytes: int, max_outbound_bytes: int
 ) -> Connection:
     """Return an OPEN connection for a socket that was accepted, here or in another process."""
-    sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    prepare_socket(sock)
     return Connection(loop, sock, OPEN, max_inbound_bytes, max_outbound_bytes)
--- a/umberusher/net/listener.py
+++ b/umberusher/net/listener.py
@@ -4,6 +4,7 @@
 
 import errno
 import logging
+import math
 import socket
 from collections.abc import Callable
 
@@ -21,6 +22,8 @@
     Attributes:
         sock: The listening socket.
         paused: Whether nothing is accepted.
+        backlog_since_s: The connections that are accepted now were established after this time of
+            the loop.
     """
 
     def __init__(
@@ -42,6 +45,9 @@
         """
         self.sock = sock
         self.paused = True
+        self.backlog_since_s = -math.inf
+        # Connections may be pending since then; None if none was at the loop's previous poll.
+        self._unaccepted_since_s: float | None = -math.inf
         self._loop = loop
         self._batch_size = batch_size
         self._on_accepted = on_accepted
@@ -57,6 +63,8 @@
             return
         self.paused = paused
         if paused:
+            if self._unaccepted_since_s is None:
+                self._unaccepted_since_s = self._loop.previous_poll_s
             self._loop.unregister(self.sock.fileno())
         else:
             self._loop.spawn(self._accept())
@@ -74,10 +82,16 @@
 
     def _accept_batch(self) -> bool:
         """Accept pending connections, up to a batch; return False if no descriptor was left."""
+        if self._unaccepted_since_s is None:
+            self._unaccepted_since_s = self._loop.previous_poll_s
+        self.backlog_since_s = self._unaccepted_since_s
         for _ in range(self._batch_size):
             try:
                 accepted, _address = self.sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
+                self._unaccepted_since_s = None
+                return True
+            except (InterruptedError, ConnectionAbortedError):
                 return True
             except OSError as error:
                 reason = errno.errorcode.get(error.errno or 0, error.errno)
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -1,17 +1,21 @@
 """One thread's event loop: select.epoll, generators as coroutines, and timers.
 
 A coroutine yields a :class:`Wait` and is resumed with its events. The loop keeps at most
-one coroutine per descriptor.
+one coroutine per descriptor. One poll reports all ready descriptors; they are resumed in one or
+several steps, and the next poll follows once all of them were. Work that the coroutines have queued
+runs between two polls, a bounded part at a time.
 """
 
 from __future__ import annotations
 
 import heapq
+import itertools
 import logging
 import select
 import time
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
+from typing import Protocol
 
 log = logging.getLogger(__name__)
 
@@ -21,6 +25,9 @@
 READ_CLOSED = select.EPOLLRDHUP
 
 MAX_EVENTS_PER_STEP = 64
+# Inputs that a poll reports together may have arrived in another order if the poll before it is
+# longer ago than this.
+MAX_UNORDERED_INPUT_S = 0.005
 # Thousands of timers due together must not keep ready descriptors waiting.
 MAX_TIMERS_PER_STEP = 64
 # A poll that takes longer than this has blocked: no event was ready when it began.
@@ -46,6 +53,19 @@
 Coroutine = Generator[Wait, int, None]
 
 
+class DeferredWork(Protocol):
+    """Work that coroutines queue while they are resumed, and that runs once all of them were.
+
+    Attributes:
+        is_pending: Whether any work is queued.
+    """
+
+    is_pending: bool
+
+    def run(self) -> None:
+        """Run a bounded part of the work."""
+
+
 class Timer:
     """A scheduled call, which can be cancelled.
 
@@ -73,13 +93,19 @@
     """Runs coroutines and timers until it is stopped.
 
     Invariants: each descriptor in ``_masks`` is registered with exactly one epoll object, with that
-    event mask; ``_cancelled_count`` counts the cancelled timers in the heap.
+    event mask; ``_cancelled_count`` counts the cancelled timers in the heap; ``_ready`` holds the
+    events of the last poll that were not handled yet.
 
     Attributes:
         clock: Returns monotonic time in seconds.
         epoll: Polls all descriptors but the prioritized ones.
         priority_epoll: Polls the prioritized descriptors.
         oldest_input_at_s: The earliest time at which input that is read now may have arrived.
+        previous_poll_s: When the poll before the last one began. Input of a descriptor that was
+            watched and empty then has arrived since.
+        poll_count: The number of polls.
+        inputs_may_be_unordered: Whether inputs that the last poll has reported may have arrived in
+            another order than that in which they are read.
         running: Whether ``run`` continues.
     """
 
@@ -93,12 +119,18 @@
         self._prioritized: set[int] = set()
         self._parked: dict[int, Coroutine] = {}
         self._masks: dict[int, int] = {}
+        self._ready: dict[int, int] = {}
+        self._deferred_work: list[DeferredWork] = []
         # A heap by due time; the serial keeps timers of the same time in order.
         self._timers: list[tuple[float, int, Timer]] = []
         self._timer_serial = 0
         self._cancelled_count = 0
         self.oldest_input_at_s = clock()
         self._last_poll_s = self.oldest_input_at_s
+        self._polled_at_s = self.oldest_input_at_s
+        self.previous_poll_s = self.oldest_input_at_s
+        self.poll_count = 0
+        self.inputs_may_be_unordered = False
         # The latest time until which input of a stall is still read; 0 if there was no stall.
         self._catch_up_until_s = 0.0
         self.running = False
@@ -202,23 +234,72 @@
             epoll.unregister(fd)
         self._prioritized.discard(fd)
         self._parked.pop(fd, None)
+        self._ready.pop(fd, None)
+
+    # -- Deferred work
+
+    def add_deferred_work(self, work: DeferredWork) -> None:
+        """Run this work between polls from now on."""
+        self._deferred_work.append(work)
+
+    def remove_deferred_work(self, work: DeferredWork) -> None:
+        """Stop running this work; harmless if it is not run."""
+        if work in self._deferred_work:
+            self._deferred_work.remove(work)
+
+    @property
+    def _has_pending_work(self) -> bool:
+        return any(work.is_pending for work in self._deferred_work)
+
+    def _run_deferred_work(self) -> None:
+        for work in self._deferred_work:
+            if not work.is_pending:
+                continue
+            try:
+                work.run()
+            except Exception:
+                log.exception("deferred_work_failed")
 
     # -- Steps
 
     def step(self, longest_ms: float = DEFAULT_MAX_WAIT_MS) -> None:
         """Wait for events or the next timer, at most ``longest_ms``, then run what is ready."""
-        timeout_s = longest_ms / MS_PER_S
-        due_s = self.next_timer_due_s()
-        if due_s is not None:
-            timeout_s = min(timeout_s, max(due_s - self.clock(), 0.0))
-        began_s = self.clock()
-        ready = self.epoll.poll(timeout_s, MAX_EVENTS_PER_STEP)
-        self._update_oldest_input_time(began_s, timeout_s, bool(ready))
+        if not self._ready:
+            self._poll_ready(longest_ms)
+        fds = list(itertools.islice(self._ready, MAX_EVENTS_PER_STEP))
+        ready = [(fd, self._ready.pop(fd)) for fd in fds]
         if self._prioritized:
             ready = self.priority_epoll.poll(0) + ready
         self._resume_ready(ready)
+        if not self._ready:
+            self._run_deferred_work()
         self._run_due_timers()
 
+    def _poll_ready(self, longest_ms: float) -> None:
+        """Poll all descriptors; wait only if no work is pending."""
+        timeout_s = 0.0 if self._has_pending_work else longest_ms / MS_PER_S
+        due_s = self.next_timer_due_s()
+        began_s = self.clock()
+        if due_s is not None:
+            timeout_s = min(timeout_s, max(due_s - began_s, 0.0))
+        ready = self._poll_all(timeout_s)
+        self._update_oldest_input_time(began_s, timeout_s, bool(ready))
+        if ready and self._last_poll_s - began_s > MIN_BLOCKING_POLL_S:
+            # The poll has waited, so the time at which it looked last is not known.
+            began_s = self.clock()
+            ready = self._poll_all(0.0)
+        self.previous_poll_s = self._polled_at_s
+        self.poll_count += 1
+        self._polled_at_s = began_s
+        self.inputs_may_be_unordered = (
+            len(ready) > 1 and self._last_poll_s - self.previous_poll_s > MAX_UNORDERED_INPUT_S
+        )
+        self._ready = dict(ready)
+
+    def _poll_all(self, timeout_s: float) -> list[tuple[int, int]]:
+        """Return the events of all ready descriptors, however many."""
+        return self.epoll.poll(timeout_s, max(len(self._masks), 1))
+
     def _update_oldest_input_time(self, began_s: float, timeout_s: float, any_ready: bool) -> None:
         """Update the earliest time at which input that is read in this step may have arrived.
 
--- a/umberusher/net/ring.py
+++ b/umberusher/net/ring.py
@@ -114,21 +114,29 @@
             self.write(data[count:])
         return count
 
-    def receive_from(self, sock: socket.socket) -> int:
-        """Read from a socket once and return the count; 0 at the end of input.
+    def writable_span(self) -> memoryview:
+        """Return free capacity to receive into, at least one byte; ``commit`` what was received.
 
         There must be free bytes.
         """
         if self._size == len(self._data):
             self._reserve(max(self._size + 1, self._initial_capacity))
-        if not self._size:
-            # An empty ring begins at 0: all of it is one span.
-            count = sock.recv_into(self._data)
-        else:
-            free_spans = self._spans(self._head + self._size, len(self._data) - self._size)
-            low, high = free_spans[0]
-            with memoryview(self._data) as view:
-                count = sock.recv_into(view[low:high])
+        # An empty ring begins at 0: all of it is one span.
+        low, high = 0, len(self._data)
+        if self._size:
+            low, high = self._spans(self._head + self._size, high - self._size)[0]
+        return memoryview(self._data)[low:high]
+
+    def commit(self, count: int) -> None:
+        """Append the ``count`` bytes that were received into the writable span."""
+        self._size += count
+
+    def receive_from(self, sock: socket.socket) -> int:
+        """Read from a socket once and return the count; 0 at the end of input.
+
+        There must be free bytes.
+        """
+        count = sock.recv_into(self.writable_span())
         self._size += count
         return count
 
--- /dev/null
+++ b/umberusher/net/timed_connection.py
@@ -0,0 +1,108 @@
+"""A connection that knows between which times its input has arrived."""
+
+from __future__ import annotations
+
+import socket
+
+from umberusher.net.connection import MAX_PENDING_READS, Connection, State, prepare_socket
+from umberusher.net.loop import Loop
+from umberusher.net.receive_timestamps import ReceiveTimestamps
+
+
+class TimedConnection(Connection):
+    """A connection that reads until the kernel holds no more, and bounds the times of arrival.
+
+    The bounds come from the loop's polls. Where inputs of several connections may be out of order
+    and the socket has timestamps, these make them narrower.
+
+    Attributes:
+        received_after_s: The bytes of the last read have arrived after this time of the loop.
+        received_by_s: They have arrived by this time of the loop.
+        last_byte_is_timed: Whether the last byte read arrived exactly at ``received_by_s``.
+        buffered_since_s: The owner has left complete messages in ``inbound`` that have arrived
+            after this time; None if it has left none.
+    """
+
+    __slots__ = (
+        "_has_timestamps",
+        "_holds_more",
+        "_timestamps",
+        "_unread_at_poll",
+        "_unread_since_s",
+        "buffered_since_s",
+        "last_byte_is_timed",
+        "received_after_s",
+        "received_by_s",
+    )
+
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        max_inbound_bytes: int,
+        max_outbound_bytes: int,
+        timestamps: ReceiveTimestamps,
+        established_after_s: float,
+    ) -> None:
+        """Adopt a socket that was accepted, here or in another process.
+
+        Args:
+            loop: The event loop.
+            sock: The socket, owned from now on.
+            max_inbound_bytes: Limit of the inbound ring.
+            max_outbound_bytes: Limit of the outbound ring, and so of one message.
+            timestamps: Reads the kernel's timestamps, if the socket has them.
+            established_after_s: The loop's time after which the input that the kernel holds already
+                has arrived.
+        """
+        prepare_socket(sock)
+        super().__init__(loop, sock, State.OPEN, max_inbound_bytes, max_outbound_bytes)
+        self._timestamps = timestamps
+        self._has_timestamps = timestamps.enable(sock)
+        # The kernel may have held input since then, when the loop made this poll.
+        self._unread_since_s = established_after_s
+        self._unread_at_poll = loop.poll_count
+        self._holds_more = False
+        self.received_after_s = established_after_s
+        self.received_by_s = established_after_s
+        self.last_byte_is_timed = False
+        self.buffered_since_s: float | None = None
+
+    def _read(self) -> bool:
+        """Read until the kernel holds no more, a bounded number of times."""
+        if not super()._read():
+            return False
+        for _ in range(MAX_PENDING_READS - 1):
+            if not self._holds_more or self.state is not State.OPEN:
+                break
+            if not self.inbound.free_bytes or not super()._read():
+                break
+        return True
+
+    def _arrived_after_s(self) -> float:
+        """Return the time after which all that the kernel holds now has arrived."""
+        after_s = self.loop.previous_poll_s
+        # A later poll would have reported input that the kernel held then.
+        if self.loop.poll_count <= self._unread_at_poll + 1:
+            after_s = min(after_s, self._unread_since_s)
+        if self.buffered_since_s is not None:
+            after_s = min(after_s, self.buffered_since_s)
+        return after_s
+
+    def _receive(self) -> int:
+        after_s = self._arrived_after_s()
+        arrived_by_s = None
+        span = self.inbound.writable_span()
+        if self._has_timestamps and self.loop.inputs_may_be_unordered:
+            count, arrived_by_s = self._timestamps.receive(self.sock, span, after_s)
+        else:
+            count = self.sock.recv_into(span)
+        self.inbound.commit(count)
+        self._holds_more = count == len(span)
+        if self._holds_more:
+            self._unread_since_s = after_s
+            self._unread_at_poll = self.loop.poll_count
+        self.received_after_s = after_s
+        self.received_by_s = self.loop.clock() if arrived_by_s is None else arrived_by_s
+        self.last_byte_is_timed = arrived_by_s is not None and not self._holds_more
+        return count
--- a/umberusher/standin/clock.py
+++ b/umberusher/standin/clock.py
@@ -48,13 +48,23 @@
         """Process ready descriptors in a fixed order, or advance the clock to the next timer."""
         ready = self._poll() or self._poll()
         self.oldest_input_at_s = self.now  # no input arrives while the clock stands still
+        self.previous_poll_s = self.now
+        self.poll_count += 1
         if ready:
             self._resume_ready(ready)
+        elif self._has_pending_work:
+            self._run_deferred_work()
         else:
             self._move_clock(longest_ms)
         self.steps += 1
         self._run_due_timers()
 
+    def _resume_ready(self, ready: list[tuple[int, int]]) -> None:
+        """Resume coroutines, and run the work that each queues before the next one."""
+        for item in ready:
+            super()._resume_ready([item])
+            self._run_deferred_work()
+
     def _move_clock(self, longest_ms: float) -> None:
         due = self.next_timer_due_s()
         limit = self.now + longest_ms / 1000.0
