Run the loads of a key in one process at a time during an upgrade

While a predecessor and its successor both serve, a load that reached the successor was sent at once, though one of its key, taken earlier, still ran at the predecessor. Cause: each process kept the order of a key by itself. Fix: the predecessor owns the keys. The successor claims one, with the bounds of its load's arrival, and begins the load when the claim is granted; the predecessor grants it once the key is idle and begins none of it until it is released. A listener now tells since when connections may have been pending, so that calls on one that waited in the backlog have a true lower bound of their arrival.

--- a/tests/frontend/test_key_arrivals.py
+++ b/tests/frontend/test_key_arrivals.py
@@ -4,14 +4,9 @@
 
 import pytest
 
-from umberusher.frontend.call_queue import Arrival
 from umberusher.frontend.key_arrivals import KeyArrivals
 
 
-def arrival(after_s: float, by_s: float) -> Arrival:
-    return Arrival(0.0, after_s, by_s)
-
-
 @pytest.mark.parametrize(
     ("after_s", "by_s", "client", "admitted"),
     [
@@ -23,21 +18,21 @@
 )
 def test_key_arrivals_admit_call_unless_it_may_precede_the_latest(after_s, by_s, client, admitted):
     arrivals = KeyArrivals()
-    assert arrivals.admits("k", "a", arrival(10.0, 10.0))
-    assert arrivals.admits("k", client, arrival(after_s, by_s)) is admitted
+    assert arrivals.admits("k", "a", 10.0, 10.0)
+    assert arrivals.admits("k", client, after_s, by_s) is admitted
 
 
 def test_key_arrivals_keep_the_latest_time_of_a_key():
     arrivals = KeyArrivals()
-    assert arrivals.admits("k", "a", arrival(10.0, 10.0))
-    assert arrivals.admits("k", "a", arrival(5.0, 6.0))
-    assert not arrivals.admits("k", "b", arrival(9.0, 11.0))
+    assert arrivals.admits("k", "a", 10.0, 10.0)
+    assert arrivals.admits("k", "a", 5.0, 6.0)
+    assert not arrivals.admits("k", "b", 9.0, 11.0)
 
 
 def test_key_arrivals_forget_old_keys():
     arrivals = KeyArrivals()
     for number in range(100):
-        arrivals.admits(f"k{number}", "a", arrival(number, number))
+        arrivals.admits(f"k{number}", "a", number, number)
     arrivals.forget_before(90.0)
     assert len(arrivals) == 10
 
--- a/tests/net/test_sockets.py
+++ b/tests/net/test_sockets.py
@@ -112,3 +112,34 @@
     assert notifications == ["asked", "released"] and conn.state is State.CLOSED
     peer_end.close()
     loop.close()
+
+
+def test_listener_tells_since_when_connections_may_have_been_pending():
+    """Calls on a connection that waited in the backlog may have arrived long before it is accepted."""
+    now = [100.0]
+    loop, bounds = Loop(lambda: now[0]), []
+    sock = socket.create_server(("127.0.0.1", 0))
+
+    def on_accepted(accepted: socket.socket) -> None:
+        bounds.append(listener.backlog_since_s)
+        accepted.close()
+
+    listener = Listener(loop, sock, 2, on_accepted, lambda: None)
+    listener.set_paused(False)
+    loop.step(0)
+    for now[0] in (101.0, 102.0):
+        loop.step(0)
+    peers = [socket.create_connection(sock.getsockname()) for _ in range(3)]
+    for now[0] in (103.0, 104.0):  # a batch of two, and the third, which was pending as long
+        loop.step(0)
+    assert bounds == [102.0, 102.0, 102.0]
+    for now[0] in (105.0, 106.0):
+        loop.step(0)
+    listener.set_paused(True)
+    peers.append(socket.create_connection(sock.getsockname()))
+    now[0] = 110.0
+    listener.set_paused(False)
+    loop.step(0)
+    assert bounds[3:] == [105.0]
+    for each in (listener, *peers, loop):
+        each.close()
--- a/umberusher/broker/broker.py
+++ b/umberusher/broker/broker.py
@@ -33,8 +33,10 @@
 from umberusher.discovery.client import DiscoveryClient
 from umberusher.endpoints.registry import EndpointRegistry
 from umberusher.frontend.call_decoder import RequestSchema
+from umberusher.frontend.key_arrivals import KeyArrivals
 from umberusher.frontend.thrift_frontend import ThriftFrontend
 from umberusher.hot_restart.hot_restart import HotRestart
+from umberusher.hot_restart.key_ownership import KeyOwnership
 from umberusher.hot_restart.successor import HandoverRefused, HandoverState, request_handover
 from umberusher.net.loop import Loop
 from umberusher.pipeline.admission import RequestAdmission
@@ -173,6 +175,12 @@
             limits.max_retry_after_ms if limits.retry_after else None,
             self.contracts,
         )
+        self.key_arrivals = KeyArrivals()
+        self.key_ownership = KeyOwnership(
+            self.loop.clock,
+            lambda key: self.balancer.key_order.is_idle(key, self.now_ms()),
+            self.key_arrivals.admits,
+        )
         self.frontend = ThriftFrontend(
             self.loop,
             self.admission,
@@ -182,6 +190,8 @@
             self.readiness.accepts_clients,
             max_clients,
             RequestSchema(config.settings),
+            self.key_arrivals,
+            self.key_ownership,
             config.memory_mb,
             None if self.contracts is None else self.contracts.origin,
         )
@@ -194,6 +204,7 @@
             self.contracts,
             self._shutdown_request,
             memory_mb,
+            self.key_ownership,
         )
         self.hot_restart = HotRestart(
             self.loop, path, self.restart_host, self.config.max_list_bytes
@@ -362,6 +373,7 @@
         if self.contracts is not None:
             self.contracts.sweep()
         self.shared_limits.update()
+        self.key_ownership.sweep()
         self._take_over_accepting()
         if self.shutdown.advance():
             self.loop.running = False
--- a/umberusher/broker/restart_host.py
+++ b/umberusher/broker/restart_host.py
@@ -10,6 +10,7 @@
 from umberusher.endpoints.registry import EndpointRegistry
 from umberusher.frontend.client_connection import ClientConnection
 from umberusher.frontend.thrift_frontend import ThriftFrontend
+from umberusher.hot_restart.key_ownership import KeyOwnership
 from umberusher.hot_restart.messages import Greeting, JsonObject, ResourceUsage
 from umberusher.hot_restart.successor import HandoverState
 from umberusher.protocol.discovery import WatchEvent, encode_endpoint_list
@@ -20,7 +21,11 @@
 
 
 class BrokerRestartHost:
-    """Implements ``RestartHost``: exports and restores the state of the broker's components."""
+    """Implements ``RestartHost``: exports and restores the state of the broker's components.
+
+    Attributes:
+        key_ownership: Which process may run requests of an order key.
+    """
 
     __slots__ = (
         "_contracts",
@@ -29,6 +34,7 @@
         "_memory_mb",
         "_shutdown_request",
         "_upstream",
+        "key_ownership",
     )
 
     def __init__(
@@ -39,6 +45,7 @@
         contracts: ContractEnforcer | None,
         shutdown_request: ShutdownRequest,
         memory_mb: Callable[[], float],
+        key_ownership: KeyOwnership,
     ) -> None:
         self._endpoints = endpoints
         self._frontend = frontend
@@ -46,6 +53,7 @@
         self._contracts = contracts
         self._shutdown_request = shutdown_request
         self._memory_mb = memory_mb
+        self.key_ownership = key_ownership
 
     # -- State that is sent to a peer
 
--- a/umberusher/decisions/key_order.py
+++ b/umberusher/decisions/key_order.py
@@ -55,6 +55,11 @@
             return True
         return now_ms < queue.cooling_down_until and not request.attempts_sent
 
+    def is_idle(self, key: str, now_ms: float) -> bool:
+        """Return whether a key has no requests and is not cooling down."""
+        queue = self.queues.get(key)
+        return queue is None or (not queue.requests and queue.cooling_down_until <= now_ms)
+
     def cool_down(self, request: Request, now_ms: float) -> None:
         """Start the cool-down of the key of a request."""
         if request.key is not None and request.key in self.queues:
--- a/umberusher/frontend/client_connection.py
+++ b/umberusher/frontend/client_connection.py
@@ -22,7 +22,7 @@
 from umberusher.frontend.call_queue import Arrival, CallQueue, PendingCall
 from umberusher.frontend.deferred_calls import Call, DeferredCalls
 from umberusher.frontend.handed_over_call import HandedOverCall
-from umberusher.frontend.key_arrivals import KeyArrivals
+from umberusher.frontend.key_arrivals import KeyArrivals, KeyLoans
 from umberusher.frontend.response_sink import ThriftResponseSink, encode_rejection
 from umberusher.net.connection import RawMessage, State
 from umberusher.net.loop import Loop
@@ -77,6 +77,7 @@
         admission: Admits decoded requests.
         call_queue: The calls that wait to be begun, in the order of arrival.
         key_arrivals: Knows which calls may have arrived before those that were begun.
+        key_loans: The order keys that this process shares with another one.
         schema: The classes and value ranges that calls must keep to.
         now_ms: The broker's clock.
         arrived_ms: Returns the earliest time at which input that is read now may have arrived.
@@ -91,6 +92,7 @@
     admission: RequestAdmission
     call_queue: CallQueue
     key_arrivals: KeyArrivals
+    key_loans: KeyLoans
     schema: RequestSchema
     now_ms: Callable[[], float]
     arrived_ms: Callable[[], float]
@@ -296,7 +298,7 @@
         elif call.seqid is None:
             self._close_malformed(call.reason)
         else:
-            self._reject_invalid(call.seqid, call.name, call.kind, call.reason)
+            self.write_answer(_encode_invalid(call.seqid, call.name, call.kind, call.reason))
 
     def _open_call(self, call: thrift.Execute, arrival: Arrival) -> None:
         """Queue a call, to be begun in the order of arrival."""
@@ -315,9 +317,29 @@
         """Admit the request of a call that was queued, or give it its final answer."""
         self._queued_count -= 1
         self._pending_count -= 1
-        self._admit(pending)
         if self.deferred_calls or self.connection.buffered_since_s is not None:
             self._resume_deferred()
+        call = pending.call
+        seqid = call.seqid
+        if len(self.open_calls) - self._pending_count > MAX_OPEN_CALLS:
+            # A flood of one client's calls would be queued ahead of all other clients' calls.
+            log.warning("call_rejected reason=too_many_open_calls limit=%d", MAX_OPEN_CALLS)
+            self._reject(seqid, call)
+            return
+        sink = ThriftResponseSink(self, seqid)
+        try:
+            arrived_ms = pending.arrival.counted_from_ms
+            request = decode_request(call, sink, arrived_ms, self._frontend.schema)
+        except InvalidCallError as error:
+            self._count_final_answer(FinalOutcome.FAILED, call)
+            kind = thrift.PROTOCOL_ERROR
+            self.answer(seqid, _encode_invalid(seqid, "execute", kind, error.reason))
+            return
+        key = request.arrival.key
+        if key is not None and self._is_ordered(request):
+            self._admit_in_order(pending, request, key)
+        else:
+            self._admit_request(seqid, call, request)
 
     def drop_call(self) -> None:
         """Account for a call that was withdrawn, now that the queue has come to it."""
@@ -336,27 +358,45 @@
             return
         self._frontend.admission.registry.close(request)
 
-    def _admit(self, pending: PendingCall) -> None:
-        call = pending.call
-        seqid = call.seqid
-        if len(self.open_calls) - self._pending_count > MAX_OPEN_CALLS:
-            # A flood of one client's calls would be queued ahead of all other clients' calls.
-            log.warning("call_rejected reason=too_many_open_calls limit=%d", MAX_OPEN_CALLS)
-            self._reject(seqid, call)
-            return
-        sink = ThriftResponseSink(self, seqid)
-        try:
-            arrived_ms = pending.arrival.counted_from_ms
-            request = decode_request(call, sink, arrived_ms, self._frontend.schema)
-        except InvalidCallError as error:
-            self._count_final_answer(FinalOutcome.FAILED, call)
-            self._reject_invalid(seqid, "execute", thrift.PROTOCOL_ERROR, error.reason)
-            return
-        key = request.arrival.key
-        if key is not None and not self._is_in_order(key, request, pending.arrival):
-            log.warning("call_rejected reason=order_unknown key=%r", key)
-            self._reject(seqid, call)
+    def _admit_in_order(self, pending: PendingCall, request: Request, key: str) -> None:
+        """Admit a request of an order key once none that may be older can follow."""
+        arrival = pending.arrival
+        loans = self._frontend.key_loans
+        is_known = self._frontend.key_arrivals.admits(key, self, arrival.after_s, arrival.by_s)
+        if not is_known or loans.is_lent(key):
+            self._reject_unordered(pending, key)
+        elif loans.owner is None:
+            self._admit_request(pending.call.seqid, pending.call, request)
+        else:
+            self._pending_count += 1
+            loans.claim(
+                key,
+                arrival.after_s,
+                arrival.by_s,
+                lambda granted: self._on_claim_decided(pending, request, key, granted),
+            )
+
+    def _on_claim_decided(
+        self, pending: PendingCall, request: Request, key: str, granted: bool
+    ) -> None:
+        """Admit or reject a call for whose key another process was asked."""
+        if pending.is_withdrawn:
             return
+        self._pending_count -= 1
+        if granted:
+            self._admit_request(pending.call.seqid, pending.call, request)
+        else:
+            self._reject_unordered(pending, key)
+
+    def _reject_unordered(self, pending: PendingCall, key: str) -> None:
+        log.warning("call_rejected reason=order_unknown key=%r", key)
+        self._reject(pending.call.seqid, pending.call)
+
+    def _is_ordered(self, request: Request) -> bool:
+        """Return whether requests of this class run in the order of their key."""
+        return self._frontend.schema.classes[request.arrival.query_class].ordered_by_key
+
+    def _admit_request(self, seqid: int, call: thrift.Execute, request: Request) -> None:
         self.open_calls[seqid] = request
         request.arrival.retry_budget_eligible = self.retry_credit > 0
         self.retry_credit = max(self.retry_credit - 1, 0)
@@ -365,31 +405,10 @@
             request.origin = self.origin
         self._frontend.admission.admit(request)
 
-    def _is_in_order(self, key: str, request: Request, arrival: Arrival) -> bool:
-        """Return whether no later request of its order key was begun, as far as can be known."""
-        if not self._frontend.schema.classes[request.arrival.query_class].ordered_by_key:
-            return True
-        return self._frontend.key_arrivals.admits(key, self, arrival)
-
     def _reject(self, seqid: int, call: thrift.Execute) -> None:
-        """Reject a call that has not become a request; the client may retry."""
+        """Reject an open call that has not become a request; the client may retry."""
         self._count_final_answer(FinalOutcome.REJECTED, call)
-        self._answer_unadmitted(
-            seqid, encode_rejection(seqid, self._frontend.admission.retry_after_ms)
-        )
-
-    def _answer_unadmitted(self, seqid: int, data: bytes) -> None:
-        """Answer a call that has not become a request; it may be open."""
-        if seqid in self.open_calls:
-            self.answer(seqid, data)
-        else:
-            self.write_answer(data)
-
-    def _reject_invalid(self, seqid: int, name: str, kind: int, reason: str) -> None:
-        """Answer an invalid call with an exception."""
-        log.warning("call_rejected reason=%r", reason)
-        data = thrift.encode_application_exception(name, seqid, kind, reason)
-        self._answer_unadmitted(seqid, data)
+        self.answer(seqid, encode_rejection(seqid, self._frontend.admission.retry_after_ms))
 
     def _close_malformed(self, reason: str) -> None:
         log.warning("client_closed reason=%r", reason)
@@ -539,3 +558,9 @@
             self._withdraw(call)
         else:
             call.disconnect()
+
+
+def _encode_invalid(seqid: int, name: str, kind: int, reason: str) -> bytes:
+    """Return the answer to an invalid call, and log it."""
+    log.warning("call_rejected reason=%r", reason)
+    return thrift.encode_application_exception(name, seqid, kind, reason)
--- a/umberusher/frontend/key_arrivals.py
+++ b/umberusher/frontend/key_arrivals.py
@@ -7,9 +7,8 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
-
-from umberusher.frontend.call_queue import Arrival
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
 
 # Clients write the requests of one key at least 60 ms apart. Two that are read within less are in
 # the order in which they were read.
@@ -18,6 +17,22 @@
 RETENTION_S = 1.0
 
 
+class KeyLoans(Protocol):
+    """The keys that this process shares with another one in an upgrade."""
+
+    @property
+    def owner(self) -> object | None:
+        """The process that owns all keys; None if this process does."""
+
+    def is_lent(self, key: str) -> bool:
+        """Return whether another process has claimed the key."""
+
+    def claim(
+        self, key: str, after_s: float, by_s: float, on_decided: Callable[[bool], None]
+    ) -> None:
+        """Ask the owner whether a call may be begun; it arrived between the two times."""
+
+
 class _KeyArrival(NamedTuple):
     """The latest call of a key that was begun."""
 
@@ -38,21 +53,22 @@
         """Return the number of keys that are remembered."""
         return len(self._latest)
 
-    def admits(self, key: str, client: object, arrival: Arrival) -> bool:
+    def admits(self, key: str, client: object, after_s: float, by_s: float) -> bool:
         """Return whether a call may be begun now, and record that it is.
 
         Args:
             key: The order key.
             client: The connection, which keeps the order of its own calls.
-            arrival: When the call arrived.
+            after_s: The call arrived after this time of the loop.
+            by_s: The call had arrived by this time of the loop.
         """
         latest = self._latest.get(key)
         if latest is None:
-            self._latest[key] = _KeyArrival(client, arrival.by_s)
+            self._latest[key] = _KeyArrival(client, by_s)
             return True
-        if latest.client is not client and latest.by_s - arrival.after_s >= MIN_KEY_INTERVAL_S:
+        if latest.client is not client and latest.by_s - after_s >= MIN_KEY_INTERVAL_S:
             return False
-        self._latest[key] = _KeyArrival(client, max(arrival.by_s, latest.by_s))
+        self._latest[key] = _KeyArrival(client, max(by_s, latest.by_s))
         return True
 
     def forget_before(self, time_s: float) -> None:
--- a/umberusher/frontend/thrift_frontend.py
+++ b/umberusher/frontend/thrift_frontend.py
@@ -11,7 +11,7 @@
 from umberusher.frontend.call_decoder import RequestSchema
 from umberusher.frontend.call_queue import CallQueue
 from umberusher.frontend.client_connection import ClientConnection, CloseReason
-from umberusher.frontend.key_arrivals import RETENTION_S, KeyArrivals
+from umberusher.frontend.key_arrivals import RETENTION_S, KeyArrivals, KeyLoans
 from umberusher.net.connection import Connection, State
 from umberusher.net.listener import Listener
 from umberusher.net.loop import Loop
@@ -54,6 +54,7 @@
         large_calls: Clients with a large incomplete call.
         call_queue: The calls that wait to be begun, in the order of arrival.
         key_arrivals: The latest arrivals of order keys.
+        key_loans: The order keys that this process shares with another one.
         peer_client_count: Clients of other processes of this broker.
         max_clients: Limit of clients of all processes of this broker together.
     """
@@ -68,6 +69,8 @@
         accepts_clients: Callable[[], bool],
         max_clients: int,
         schema: RequestSchema,
+        key_arrivals: KeyArrivals,
+        key_loans: KeyLoans,
         memory_mb: float,
         origin_of_port: Callable[[int], Origin] | None = None,
     ) -> None:
@@ -83,6 +86,8 @@
             accepts_clients: Returns whether clients should use this broker.
             max_clients: Limit of connections.
             schema: The classes and value ranges that calls must keep to.
+            key_arrivals: The latest arrivals of order keys.
+            key_loans: The order keys that this process shares with another one.
             memory_mb: The memory limit, by which frames are bounded.
             origin_of_port: Returns the origin of connections to a port; None if origins are not
                 used.
@@ -108,7 +113,8 @@
         self.additional_listeners: list[Listener] = []
         self.peer_client_count = 0
         self.call_queue = CallQueue(loop.clock)
-        self.key_arrivals = KeyArrivals()
+        self.key_arrivals = key_arrivals
+        self.key_loans = key_loans
         self._timestamps = ReceiveTimestamps(loop.clock, unix_clock)
         loop.add_deferred_work(self.call_queue)
 
--- a/umberusher/hot_restart/hot_restart.py
+++ b/umberusher/hot_restart/hot_restart.py
@@ -19,7 +19,7 @@
     SuccessorReady,
     VersionAnnouncement,
 )
-from umberusher.hot_restart.peer import Peer
+from umberusher.hot_restart.peer import KEY_CLAIMS_VERSION, Peer
 from umberusher.hot_restart.predecessor import MAX_PEERS, HandoverListener
 from umberusher.hot_restart.successor import MESSAGE_TO_LIST_RATIO, HandoverState
 from umberusher.net.loop import Loop
@@ -115,6 +115,8 @@
         peer.link.receive(handover.data_after_greeting)
         peer.version = max(peer.version, handover.greeting.version)
         peer.send(VersionAnnouncement(MESSAGE_VERSION))
+        if peer.version >= KEY_CLAIMS_VERSION:
+            self._host.key_ownership.owner = peer
 
     def announce_ready(self) -> None:
         """Notify the predecessor that this process accepts clients from now on."""
@@ -138,6 +140,10 @@
     def on_peer_closed(self, peer: Peer) -> None:
         """Resume accepting if no successor remains, unless this process shuts down."""
         self.peers.remove(peer)
+        key_ownership = self._host.key_ownership
+        if key_ownership.owner is peer:
+            key_ownership.on_owner_closed()
+        key_ownership.on_borrower_closed(peer)
         if peer.is_ready and not self.successor_is_ready and self._host.resume_accepting():
             self.listen()
 
--- a/umberusher/hot_restart/interfaces.py
+++ b/umberusher/hot_restart/interfaces.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
+from umberusher.hot_restart.key_ownership import KeyOwnership
 from umberusher.hot_restart.messages import Greeting, JsonObject, ResourceUsage
 from umberusher.hot_restart.peer import Peer
 from umberusher.protocol.discovery import WatchEvent
@@ -63,7 +64,13 @@
 
 
 class RestartHost(Protocol):
-    """The part of the broker that hot restart uses."""
+    """The part of the broker that hot restart uses.
+
+    Attributes:
+        key_ownership: Which process may run requests of an order key.
+    """
+
+    key_ownership: KeyOwnership
 
     @property
     def listening_socket(self) -> socket.socket | None:
--- a/umberusher/hot_restart/messages.py
+++ b/umberusher/hot_restart/messages.py
@@ -6,7 +6,7 @@
 
 Version 2 of the messages added ``notice`` (one endpoint update) and ``ask`` (a request for the
 whole list). A process that announces no version reads version 1 and is sent the whole list,
-``known``, at each change.
+``known``, at each change. Version 3 added ``claim``, ``claimed`` and ``release`` for order keys.
 
 The messages are named tuples: dataclasses would take twice the memory in each broker.
 """
@@ -15,6 +15,7 @@
 
 import base64
 import json
+import math
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -24,7 +25,7 @@
 if TYPE_CHECKING:
     from umberusher.hot_restart.interfaces import Message
 
-MESSAGE_VERSION = 2
+MESSAGE_VERSION = 3
 """The newest version of the messages that this program reads."""
 
 FIRST_VERSION = 1
@@ -174,6 +175,62 @@
         return cls(int(client_number), int(sequence_id))
 
 
+class KeyClaim(NamedTuple):
+    """``claim``: a successor wants to run calls of an order key.
+
+    The first of them arrived between two times of the loop's clock, in seconds.
+    """
+
+    number: int
+    key: str
+    after_s: float
+    by_s: float
+
+    def to_json(self) -> JsonObject:
+        """Return ``{"claim": [number, key, after_s, by_s]}``; no lower bound is None."""
+        after_s = None if math.isinf(self.after_s) else self.after_s
+        return {"claim": [self.number, self.key, after_s, self.by_s]}
+
+    @classmethod
+    def from_json(cls, fields: JsonObject) -> KeyClaim:
+        """Read the message."""
+        number, key, after_s, by_s = fields["claim"]
+        lower_s = -math.inf if after_s is None else float(after_s)
+        return cls(int(number), str(key), lower_s, float(by_s))
+
+
+class KeyClaimAnswer(NamedTuple):
+    """``claimed``: whether a claim was granted."""
+
+    number: int
+    granted: bool
+
+    def to_json(self) -> JsonObject:
+        """Return ``{"claimed": [number, granted]}``."""
+        return {"claimed": [self.number, self.granted]}
+
+    @classmethod
+    def from_json(cls, fields: JsonObject) -> KeyClaimAnswer:
+        """Read the message."""
+        number, granted = fields["claimed"]
+        return cls(int(number), granted is True)
+
+
+class KeyRelease(NamedTuple):
+    """``release``: a claim is given up, or its key is no longer needed."""
+
+    number: int
+
+    def to_json(self) -> JsonObject:
+        """Return ``{"release": number}``."""
+        return {"release": self.number}
+
+    @classmethod
+    def from_json(cls, fields: JsonObject) -> KeyRelease:
+        """Read the message."""
+        return cls(int(fields["release"]))
+
+
 class TeamBudgets(NamedTuple):
     """``teams``: the state of the teams' budgets, where there are contracts."""
 
@@ -262,6 +319,9 @@
     | ManualDrainChange
     | CallAnswer
     | CallDisconnect
+    | KeyClaim
+    | KeyClaimAnswer
+    | KeyRelease
     | TeamBudgets
     | SuccessorReady
 )
@@ -276,6 +336,9 @@
     "ban": ManualDrainChange.from_json,
     "answer": CallAnswer.from_json,
     "leave": CallDisconnect.from_json,
+    "claim": KeyClaim.from_json,
+    "claimed": KeyClaimAnswer.from_json,
+    "release": KeyRelease.from_json,
     "teams": TeamBudgets.from_json,
     "ready": SuccessorReady.from_json,
 }
--- a/umberusher/hot_restart/peer.py
+++ b/umberusher/hot_restart/peer.py
@@ -16,6 +16,9 @@
     EndpointChange,
     EndpointSnapshot,
     Greeting,
+    KeyClaim,
+    KeyClaimAnswer,
+    KeyRelease,
     ManualDrainChange,
     ReceivedMessage,
     ResourceUsage,
@@ -36,6 +39,9 @@
 CHANGES_VERSION = 2
 """The first version of the messages that has single endpoint changes."""
 
+KEY_CLAIMS_VERSION = 3
+"""The first version of the messages that has claims on order keys."""
+
 
 class Peer:
     """Another process of this broker.
@@ -186,6 +192,15 @@
     def _on_call_disconnect(self, message: CallDisconnect) -> None:
         self.transfer.on_disconnect(message)
 
+    def _on_key_claim(self, message: KeyClaim) -> None:
+        self._host.key_ownership.on_claim(self, message)
+
+    def _on_key_claim_answer(self, message: KeyClaimAnswer) -> None:
+        self._host.key_ownership.on_claim_answer(message)
+
+    def _on_key_release(self, message: KeyRelease) -> None:
+        self._host.key_ownership.on_release(self, message)
+
     def _on_team_budgets(self, message: TeamBudgets) -> None:
         self._host.apply_team_budgets(message.state)
 
@@ -215,6 +230,9 @@
     ManualDrainChange: Peer._on_manual_drain,
     CallAnswer: Peer._on_call_answer,
     CallDisconnect: Peer._on_call_disconnect,
+    KeyClaim: Peer._on_key_claim,
+    KeyClaimAnswer: Peer._on_key_claim_answer,
+    KeyRelease: Peer._on_key_release,
     TeamBudgets: Peer._on_team_budgets,
     SuccessorReady: Peer._on_successor_ready,
 }
--- a/umberusher/net/listener.py
+++ b/umberusher/net/listener.py
@@ -46,8 +46,9 @@
         self.sock = sock
         self.paused = True
         self.backlog_since_s = -math.inf
-        # Connections may be pending since then; None if none was at the loop's previous poll.
-        self._unaccepted_since_s: float | None = -math.inf
+        # Connections may have been pending since then, when the loop made this poll.
+        self._unaccepted_since_s = -math.inf
+        self._unaccepted_at_poll = 0
         self._loop = loop
         self._batch_size = batch_size
         self._on_accepted = on_accepted
@@ -63,12 +64,19 @@
             return
         self.paused = paused
         if paused:
-            if self._unaccepted_since_s is None:
-                self._unaccepted_since_s = self._loop.previous_poll_s
+            self._unaccepted_since_s = self._pending_since_s()
             self._loop.unregister(self.sock.fileno())
         else:
+            self._unaccepted_at_poll = self._loop.poll_count
             self._loop.spawn(self._accept())
 
+    def _pending_since_s(self) -> float:
+        """Return the time after which all pending connections were established."""
+        # A later poll would have reported connections that were pending then.
+        if self._loop.poll_count <= self._unaccepted_at_poll + 1:
+            return min(self._unaccepted_since_s, self._loop.previous_poll_s)
+        return self._loop.previous_poll_s
+
     def _accept(self) -> Coroutine:
         events = READ
         while True:
@@ -82,21 +90,17 @@
 
     def _accept_batch(self) -> bool:
         """Accept pending connections, up to a batch; return False if no descriptor was left."""
-        if self._unaccepted_since_s is None:
-            self._unaccepted_since_s = self._loop.previous_poll_s
-        self.backlog_since_s = self._unaccepted_since_s
+        self.backlog_since_s = self._pending_since_s()
         for _ in range(self._batch_size):
             try:
                 accepted, _address = self.sock.accept()
-            except BlockingIOError:
-                self._unaccepted_since_s = None
-                return True
-            except (InterruptedError, ConnectionAbortedError):
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return True
             except OSError as error:
                 reason = errno.errorcode.get(error.errno or 0, error.errno)
                 log.warning("accept_failed error=%s", reason)
                 self._on_descriptor_shortage()
+                self._keep_backlog()
                 return False
             try:
                 self._on_accepted(accepted)
@@ -104,10 +108,17 @@
                 # A fault in setting up one connection must not stop the listener for all others.
                 log.exception("connection_setup_failed")
                 accepted.close()
+        self._keep_backlog()
         return True
 
+    def _keep_backlog(self) -> None:
+        """Record that further connections may be pending."""
+        self._unaccepted_since_s = self.backlog_since_s
+        self._unaccepted_at_poll = self._loop.poll_count
+
     def _resume(self) -> None:
         if not self.paused:
+            self._unaccepted_at_poll = self._loop.poll_count
             self._loop.watch(self.sock.fileno(), READ)
 
     def accept_pending_and_close(self) -> None:
