Await the answers of a discovery service that is slow

Cause: a poll was given up 0.7 s after its linger time, whatever the service's delay, and the next one began anew with the same time. Evidence: the client alone, on, against a service with a delay: 0 and 0.6 s are heard, 0.8, 1, 2 and 3 s never; the log has reason='silent' and nothing else. Fix: the time for an answer doubles after each timeout, up to 4 s, and is twice the service's delay from then on, 0.7 s at the least. With the linger time it stays under the 7 s after which news counts as told.

--- a/umberusher/discovery/client.py
+++ b/umberusher/discovery/client.py
@@ -36,8 +36,13 @@
 # broker waits for the answer.
 FIRST_POLL_LINGER_MS = 20
 # Time after the end of the linger time by which the answer must arrive; also the timeout of a
-# connection attempt.
+# connection attempt. It doubles after each timeout, and follows the service's delay from then on.
 ANSWER_TIMEOUT_MS = 700.0
+# The longest such time. With the linger time it stays under 7 s, after which a change counts as
+# announced: a connection that has become silent is detected by then.
+MAX_ANSWER_TIMEOUT_MS = 4_000.0
+# The timeout as a multiple of the delay of the last answer.
+TIMEOUT_DELAY_MULTIPLE = 2.0
 # Minimum rate at which a long answer must arrive: the longest list of 32,000 entries must be
 # received within 7 s.
 MIN_ANSWER_BYTES_PER_S = 1e6
@@ -47,7 +52,7 @@
 # Minimum fraction of a wait after jitter: brokers that lost their connections at the same time must
 # not reconnect at the same time.
 MIN_JITTER_FRACTION = 0.5
-READ_BUFFER_BYTES = 1 << 16
+READ_BUFFER_BYTES = 1 << 14
 
 # Causes that are logged once, in addition to those of protocol errors and of closed connections.
 REVISION_REGRESSED = "revision regressed"
@@ -87,6 +92,7 @@
         connection: The connection to the service, if there is one.
         poll_client: The HTTP codec of that connection.
         backoff: The waits before the service is contacted again.
+        answer_timeout_ms: Time after the end of the linger time by which an answer must arrive.
     """
 
     def __init__(
@@ -118,6 +124,7 @@
         self.has_answered = False
         self.connection: Connection | None = None
         self.backoff = PollBackoff()
+        self.answer_timeout_ms = ANSWER_TIMEOUT_MS
         self.poll_client = PollClient("", max_answer_bytes)
         self._polled_at_s = 0.0
         self._linger_ms = FIRST_POLL_LINGER_MS
@@ -144,7 +151,7 @@
         opened.on_open = self._poll
         opened.on_data = self._on_data
         opened.on_closed = self._on_connection_failed
-        self._timer = self.loop.call_later(ANSWER_TIMEOUT_MS, lambda: opened.close(SILENT))
+        self._timer = self.loop.call_later(self.answer_timeout_ms, lambda: self._on_timeout(opened))
         self.loop.spawn(opened.serve())
 
     def move(self, address: tuple[str, int]) -> None:
@@ -153,6 +160,7 @@
             return
         self.address = address
         self.backoff.reset()
+        self.answer_timeout_ms = ANSWER_TIMEOUT_MS
         self._linger_ms = FIRST_POLL_LINGER_MS
         self._logged_causes.clear()
         self._disconnect()
@@ -216,7 +224,7 @@
         nothing, and a service that sends only a few bytes at a time.
         """
         received_bytes = self.poll_client.answer_bytes
-        allowed_s = (self._linger_ms + ANSWER_TIMEOUT_MS) / 1000
+        allowed_s = (self._linger_ms + self.answer_timeout_ms) / 1000
         due_s = self._polled_at_s + allowed_s + received_bytes / MIN_ANSWER_BYTES_PER_S
         self._timer = self.loop.call_later(
             (due_s - self.loop.clock()) * 1000, lambda: self._on_answer_due(received_bytes)
@@ -227,7 +235,16 @@
         if self.poll_client.answer_bytes > received_bytes:
             self._await_answer()
         elif self.connection is not None:
-            self.connection.close(SILENT)
+            self._on_timeout(self.connection)
+
+    def _on_timeout(self, conn: Connection) -> None:
+        """Close a silent connection, and allow more time on the next one.
+
+        A service that is slower than the timeout would otherwise be asked again and again, and none
+        of its answers awaited.
+        """
+        self.answer_timeout_ms = min(2 * self.answer_timeout_ms, MAX_ANSWER_TIMEOUT_MS)
+        conn.close(SILENT)
 
     def _on_data(self) -> None:
         conn = self.connection
@@ -276,6 +293,8 @@
         self._back_off(self.backoff.after_unusable_answer(costly), self.start)
 
     def _on_answer(self, answer: PollAnswer) -> None:
+        if not answer.events:
+            self._follow_delay()
         early = not answer.events and self._answered_early()
         regressed = not answer.events and self._is_older(answer.revision)
         self.has_answered = True
@@ -294,6 +313,15 @@
             self._publish(event)
         self._poll_again(early, regressed)
 
+    def _follow_delay(self) -> None:
+        """Adapt a timeout that has grown to the delay of an answer without events.
+
+        An answer with events tells no delay, since it may come at any time of the linger time.
+        """
+        delay_ms = (self.loop.clock() - self._polled_at_s) * 1000 - self._linger_ms
+        timeout_ms = min(self.answer_timeout_ms, TIMEOUT_DELAY_MULTIPLE * delay_ms)
+        self.answer_timeout_ms = max(timeout_ms, ANSWER_TIMEOUT_MS)
+
     def _answered_early(self) -> bool:
         elapsed_s = self.loop.clock() - self._polled_at_s
         return elapsed_s < self._linger_ms * EARLY_ANSWER_FRACTION / 1000
