--- a/umberusher/discovery/client.py
+++ b/umberusher/discovery/client.py
@@ -35,8 +35,9 @@
 # The same for the first poll on a connection: the known list may be outdated, and the start of the
 # broker waits for the answer.
 FIRST_POLL_LINGER_MS = 20
-# Time after the end of the linger time by which the answer must arrive; also the timeout of a
-# connection attempt. It doubles after each timeout, and follows the service's delay from then on.
+# Time after the end of the linger time by which the answer must arrive. It doubles after each
+# timeout, and follows the service's delay from then on. Also the timeout of a connection attempt,
+# which stays: a connection that comes up late tells nothing of the answers.
 ANSWER_TIMEOUT_MS = 700.0
 # The longest such time. With the linger time it stays under 7 s, after which a change counts as
 # announced: a connection that has become silent is detected by then.
@@ -151,7 +152,7 @@
         opened.on_open = self._poll
         opened.on_data = self._on_data
         opened.on_closed = self._on_connection_failed
-        self._timer = self.loop.call_later(self.answer_timeout_ms, lambda: self._on_timeout(opened))
+        self._timer = self.loop.call_later(ANSWER_TIMEOUT_MS, lambda: opened.close(SILENT))
         self.loop.spawn(opened.serve())
 
     def move(self, address: tuple[str, int]) -> None:
@@ -235,16 +236,10 @@
         if self.poll_client.answer_bytes > received_bytes:
             self._await_answer()
         elif self.connection is not None:
-            self._on_timeout(self.connection)
-
-    def _on_timeout(self, conn: Connection) -> None:
-        """Close a silent connection, and allow more time on the next one.
-
-        A service that is slower than the timeout would otherwise be asked again and again, and none
-        of its answers awaited.
-        """
-        self.answer_timeout_ms = min(2 * self.answer_timeout_ms, MAX_ANSWER_TIMEOUT_MS)
-        conn.close(SILENT)
+            # A service that is slower than the timeout would otherwise be polled again and again,
+            # and none of its answers awaited.
+            self.answer_timeout_ms = min(2 * self.answer_timeout_ms, MAX_ANSWER_TIMEOUT_MS)
+            self.connection.close(SILENT)
 
     def _on_data(self) -> None:
         conn = self.connection
