Split the client's connection; hold no dictionary for a connection without calls

Change: CallAdmission turns queued calls into requests or final answers; time_limits.py has the limits by which connections are closed. Idle connections share one empty dictionary of open calls, and their bounds are released with their buffers.

--- a/tests/frontend/test_call_order.py
+++ b/tests/frontend/test_call_order.py
@@ -16,7 +16,7 @@
 from tests.client_calls import newest_client_connection
 from tests.rig import Rig
 from tests.thrift_messages import execute
-from umberusher.frontend import client_connection
+from umberusher.frontend import call_admission, client_connection
 from umberusher.net.connection import RawMessage
 
 LOAD = re.compile(rb"REQ ([0-9a-f]{16}) lane=load")
@@ -89,7 +89,7 @@
 
 def while_decoding(monkeypatch, rig, cost_s: float, actions: dict[int, object]) -> None:
     """Let each call take ``cost_s`` to decode; after the n-th one ``actions[n]`` is called."""
-    decode = client_connection.decode_request
+    decode = call_admission.decode_request
     decoded = []
 
     def slow_decode(*arguments):
@@ -100,7 +100,7 @@
             action()
         return decode(*arguments)
 
-    monkeypatch.setattr(client_connection, "decode_request", slow_decode)
+    monkeypatch.setattr(call_admission, "decode_request", slow_decode)
 
 
 def test_loads_keep_their_order_when_they_arrive_while_large_statements_are_read(rig, monkeypatch):
@@ -176,7 +176,7 @@
 def test_loads_keep_their_order_by_timestamps_when_the_process_was_stopped(real_time_rig):
     rig = real_time_rig
     first, second = two_clients(rig)
-    if not newest_client_connection(rig).connection._has_timestamps:
+    if newest_client_connection(rig).connection._timestamps is None:
         pytest.skip("sockets have no receive timestamps here")
     second.sock.send(call(100))
     first.sock.send(load(1))
--- /dev/null
+++ b/umberusher/frontend/call_admission.py
@@ -0,0 +1,159 @@
+"""Begins calls: each becomes a request, or gets its final answer at once."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Protocol
+
+from umberusher.deadlines.account import FinalOutcome
+from umberusher.frontend.call_decoder import (
+    InvalidCallError,
+    RequestSchema,
+    decode_fields,
+    decode_request,
+)
+from umberusher.frontend.call_queue import PendingCall
+from umberusher.frontend.key_arrivals import KeyArrivals, KeyLoans
+from umberusher.frontend.response_sink import (
+    AnsweringClient,
+    ThriftResponseSink,
+    encode_invalid,
+    encode_rejection,
+)
+from umberusher.pipeline.admission import RequestAdmission
+from umberusher.pipeline.request import Request
+from umberusher.protocol import thrift
+
+if TYPE_CHECKING:  # Contracts are loaded into memory only if they are used.
+    from umberusher.teams.identity import Origin
+
+log = logging.getLogger(__name__)
+
+
+class AdmittedClient(AnsweringClient, Protocol):
+    """The connection on which a call has arrived.
+
+    Attributes:
+        origin: The origin of the connection; None if origins are not used.
+    """
+
+    origin: Origin | None
+
+    def open_request(self, seqid: int, request: Request) -> None:
+        """Replace the open call ``seqid`` by its request."""
+
+    def await_claim(self) -> None:
+        """Count a call that waits for another process as one that is not begun."""
+
+    def claim_decided(self) -> None:
+        """End what ``await_claim`` began."""
+
+
+class CallAdmission:
+    """Passes the requests of calls to admission, those of an order key in the order of arrival."""
+
+    __slots__ = ("_admission", "_key_arrivals", "_key_loans", "_schema")
+
+    def __init__(
+        self,
+        admission: RequestAdmission,
+        schema: RequestSchema,
+        key_arrivals: KeyArrivals,
+        key_loans: KeyLoans,
+    ) -> None:
+        """Create the admission.
+
+        Args:
+            admission: Admits requests.
+            schema: The classes and value ranges that calls must keep to.
+            key_arrivals: Knows which calls may have arrived before those that were begun.
+            key_loans: The order keys that this process shares with another one.
+        """
+        self._admission = admission
+        self._schema = schema
+        self._key_arrivals = key_arrivals
+        self._key_loans = key_loans
+
+    def begin(self, client: AdmittedClient, pending: PendingCall) -> None:
+        """Admit the request of a call, or give the call its final answer."""
+        call = pending.call
+        sink = ThriftResponseSink(client, call.seqid)
+        try:
+            arrived_ms = pending.arrival.counted_from_ms
+            request = decode_request(call, sink, arrived_ms, self._schema)
+        except InvalidCallError as error:
+            self._count_final_answer(FinalOutcome.FAILED, call)
+            kind = thrift.PROTOCOL_ERROR
+            client.answer(call.seqid, encode_invalid(call.seqid, "execute", kind, error.reason))
+            return
+        if client.origin is not None:
+            request.claimed_team = call.fields.get("team")
+            request.origin = client.origin
+        key = request.arrival.key
+        if key is not None and self._schema.classes[request.arrival.query_class].ordered_by_key:
+            self._begin_in_order(client, pending, request, key)
+        else:
+            client.open_request(call.seqid, request)
+            self._admission.admit(request)
+
+    def _begin_in_order(
+        self, client: AdmittedClient, pending: PendingCall, request: Request, key: str
+    ) -> None:
+        """Admit a request of an order key if no request that is older can follow."""
+        arrival = pending.arrival
+        in_order = self._key_arrivals.admits(key, client, arrival.after_s, arrival.by_s)
+        if not in_order or self._key_loans.is_lent(key):
+            self._decide(client, pending, request, False)
+        elif self._key_loans.owner is None:
+            self._decide(client, pending, request, True)
+        else:
+            client.await_claim()
+            self._key_loans.claim(
+                key,
+                arrival.after_s,
+                arrival.by_s,
+                lambda granted: self._on_claim_decided(client, pending, request, granted),
+            )
+
+    def _on_claim_decided(
+        self, client: AdmittedClient, pending: PendingCall, request: Request, granted: bool
+    ) -> None:
+        """Admit or reject a call for whose key another process was asked."""
+        if not pending.is_withdrawn:
+            client.claim_decided()
+            self._decide(client, pending, request, granted)
+
+    def _decide(
+        self, client: AdmittedClient, pending: PendingCall, request: Request, in_order: bool
+    ) -> None:
+        """Admit a request of an order key, or reject its call."""
+        seqid = pending.call.seqid
+        if in_order:
+            client.open_request(seqid, request)
+            self._admission.admit(request)
+            return
+        log.warning("call_rejected reason=order_unknown key=%r", request.arrival.key)
+        self.reject(client, pending.call)
+
+    def reject(self, client: AdmittedClient, call: thrift.Execute) -> None:
+        """Reject an open call that has not become a request; its client may retry."""
+        self._count_final_answer(FinalOutcome.REJECTED, call)
+        rejection = encode_rejection(call.seqid, self._admission.retry_after_ms)
+        client.answer(call.seqid, rejection)
+
+    def withdraw(self, client: AdmittedClient, pending: PendingCall) -> None:
+        """Count a call that was not begun as a request whose client has disconnected."""
+        pending.is_withdrawn = True
+        sink = ThriftResponseSink(client, pending.call.seqid)
+        arrived_ms = pending.arrival.counted_from_ms
+        try:
+            request = decode_fields(pending.call, sink, arrived_ms, self._schema)
+        except InvalidCallError:
+            return
+        self._admission.registry.close(request)
+
+    def _count_final_answer(self, outcome: FinalOutcome, call: thrift.Execute) -> None:
+        """Count a call that is answered before it becomes a request, if it names a class."""
+        query_class = call.fields.get("method")
+        if query_class is not None and query_class in self._schema.classes:
+            self._admission.registry.count_final_answer(outcome, query_class)
--- a/umberusher/frontend/client_connection.py
+++ b/umberusher/frontend/client_connection.py
@@ -9,21 +9,14 @@
 
 import logging
 from collections.abc import Callable
-from enum import StrEnum
 from typing import TYPE_CHECKING, Protocol
 
-from umberusher.deadlines.account import FinalOutcome
-from umberusher.frontend.call_decoder import (
-    InvalidCallError,
-    RequestSchema,
-    decode_fields,
-    decode_request,
-)
+from umberusher.frontend.call_admission import CallAdmission
 from umberusher.frontend.call_queue import Arrival, CallQueue, PendingCall
 from umberusher.frontend.deferred_calls import Call, DeferredCalls
 from umberusher.frontend.handed_over_call import HandedOverCall
-from umberusher.frontend.key_arrivals import KeyArrivals, KeyLoans
-from umberusher.frontend.response_sink import ThriftResponseSink, encode_rejection
+from umberusher.frontend.response_sink import encode_invalid
+from umberusher.frontend.time_limits import CloseReason, overdue_reason
 from umberusher.net.connection import RawMessage, State
 from umberusher.net.loop import Loop
 from umberusher.net.timed_connection import TimedConnection
@@ -44,29 +37,13 @@
 MAX_UNWRITTEN_ANSWERS = 64
 # An incomplete call with more than this many received bytes counts as large.
 LARGE_CALL_BYTES = 1 << 15
-# Limit of the time until a connection's first byte, and between the bytes of an incomplete call.
-MAX_SILENCE_MS = 2_000.0
-# Limit of the time from a connection's start to its first complete call.
-MAX_FIRST_CALL_MS = 2_700.0
-# Limit of the time from the first byte of any other call to its last.
-MAX_CALL_MS = 6_000.0
-# Limit of the time without a call; clients close idle connections after 4 s.
-MAX_IDLE_MS = 10_000.0
-# Limit of the time during which the client reads none of its answers.
-MAX_UNREAD_ANSWERS_MS = 30_000.0
 # A connection releases its buffers after being inactive for this long.
 RELEASE_BUFFERS_AFTER_MS = 1_000.0
 
 
-class CloseReason(StrEnum):
-    """Why the broker closes a connection."""
-
-    MALFORMED = "malformed"
-    TOO_MANY_LARGE_CALLS = "no room"
-    UNREAD_ANSWERS = "takes no answers"
-    INCOMPLETE_CALL = "half a call"
-    NO_CALL = "never asked"
-    IDLE = "idle"
+OpenCall = Request | PendingCall | HandedOverCall
+# The open calls of all connections that have none, which are the majority; never changed.
+NO_OPEN_CALLS: dict[int, OpenCall] = {}
 
 
 class ClientOwner(Protocol):
@@ -76,9 +53,7 @@
         loop: The event loop.
         admission: Admits decoded requests.
         call_queue: The calls that wait to be begun, in the order of arrival.
-        key_arrivals: Knows which calls may have arrived before those that were begun.
-        key_loans: The order keys that this process shares with another one.
-        schema: The classes and value ranges that calls must keep to.
+        call_admission: Begins them.
         now_ms: The broker's clock.
         arrived_ms: Returns the earliest time at which input that is read now may have arrived.
         accepts_clients: Returns whether clients should use this broker.
@@ -91,9 +66,7 @@
     loop: Loop
     admission: RequestAdmission
     call_queue: CallQueue
-    key_arrivals: KeyArrivals
-    key_loans: KeyLoans
-    schema: RequestSchema
+    call_admission: CallAdmission
     now_ms: Callable[[], float]
     arrived_ms: Callable[[], float]
     accepts_clients: Callable[[], bool]
@@ -165,7 +138,7 @@
         self._queued_count = 0
         self._resume_planned = False
         self.connection = connection
-        self.open_calls: dict[int, Request | PendingCall | HandedOverCall] = {}
+        self.open_calls = NO_OPEN_CALLS
         self.deferred_calls: DeferredCalls | None = None
         self.forward_answer: Callable[[int, bytes], None] | None = None
         self.active_ms = frontend.now_ms()
@@ -199,13 +172,13 @@
         while self.connection.state is State.OPEN:
             deferred = self.deferred_calls
             if self._queued_count and self._is_queue_full:
-                self.connection.buffered_since_s = self.connection.received_after_s
+                self._leave_input()
                 return
             if deferred and not self.write_blocked:
                 arrival, call = deferred.pop_first()
                 self._accept_call(call, arrival)
             elif deferred and deferred.is_full(self._frontend.max_frame_bytes):
-                self.connection.buffered_since_s = self.connection.received_after_s
+                self._leave_input()
                 self._end_open_calls()
                 return
             else:
@@ -233,6 +206,10 @@
         else:
             self._accept_call(call, self._arrival())
 
+    def _leave_input(self) -> None:
+        """Leave complete frames in the buffer, and remember since when they may be here."""
+        self.connection.buffered_since_s = self.connection.received_after_s
+
     def _arrival(self) -> Arrival:
         """Return when the frame that was just taken from the inbound ring arrived."""
         received = self.connection
@@ -260,15 +237,15 @@
         Prevents engines from working for a client that has disconnected. Clients that keep to the
         limit of open calls are not affected.
         """
-        open_calls = list(self.open_calls.items())
-        requests = [call for _, call in open_calls if isinstance(call, Request)]
-        pending = [(seqid, call) for seqid, call in open_calls if isinstance(call, PendingCall)]
+        open_calls = list(self.open_calls.values())
+        requests = [call for call in open_calls if isinstance(call, Request)]
+        pending = [call for call in open_calls if isinstance(call, PendingCall)]
         if requests or pending:
             log.warning("client_reads_no_answers ended_calls=%d", len(requests) + len(pending))
-        for seqid, call in pending:
+        for call in pending:
             call.is_withdrawn = True
             self._pending_count -= 1
-            self._reject(seqid, call.call)
+            self._frontend.call_admission.reject(self, call.call)
         self._frontend.admission.end_all(requests)
 
     def _note_incomplete_call(self) -> None:
@@ -298,7 +275,7 @@
         elif call.seqid is None:
             self._close_malformed(call.reason)
         else:
-            self.write_answer(_encode_invalid(call.seqid, call.name, call.kind, call.reason))
+            self.write_answer(encode_invalid(call.seqid, call.name, call.kind, call.reason))
 
     def _open_call(self, call: thrift.Execute, arrival: Arrival) -> None:
         """Queue a call, to be begun in the order of arrival."""
@@ -307,6 +284,8 @@
             # The client could not tell two answers with the same sequence id apart.
             self._close_malformed(f"sequence id {seqid} is open already")
             return
+        if self.open_calls is NO_OPEN_CALLS:
+            self.open_calls = {}
         pending = PendingCall(self, call, arrival)
         self.open_calls[seqid] = pending
         self._pending_count += 1
@@ -314,112 +293,41 @@
         self._frontend.call_queue.add(pending)
 
     def begin_call(self, pending: PendingCall) -> None:
-        """Admit the request of a call that was queued, or give it its final answer."""
+        """Begin an open call that was queued."""
         self._queued_count -= 1
         self._pending_count -= 1
         if self.deferred_calls or self.connection.buffered_since_s is not None:
             self._resume_deferred()
-        call = pending.call
-        seqid = call.seqid
-        if len(self.open_calls) - self._pending_count > MAX_OPEN_CALLS:
-            # A flood of one client's calls would be queued ahead of all other clients' calls.
-            log.warning("call_rejected reason=too_many_open_calls limit=%d", MAX_OPEN_CALLS)
-            self._reject(seqid, call)
+        if len(self.open_calls) - self._pending_count <= MAX_OPEN_CALLS:
+            self._frontend.call_admission.begin(self, pending)
             return
-        sink = ThriftResponseSink(self, seqid)
-        try:
-            arrived_ms = pending.arrival.counted_from_ms
-            request = decode_request(call, sink, arrived_ms, self._frontend.schema)
-        except InvalidCallError as error:
-            self._count_final_answer(FinalOutcome.FAILED, call)
-            kind = thrift.PROTOCOL_ERROR
-            self.answer(seqid, _encode_invalid(seqid, "execute", kind, error.reason))
-            return
-        key = request.arrival.key
-        if key is not None and self._is_ordered(request):
-            self._admit_in_order(pending, request, key)
-        else:
-            self._admit_request(seqid, call, request)
+        # A flood of one client's calls would be queued ahead of all other clients' calls.
+        log.warning("call_rejected reason=too_many_open_calls limit=%d", MAX_OPEN_CALLS)
+        self._frontend.call_admission.reject(self, pending.call)
 
     def drop_call(self) -> None:
         """Account for a call that was withdrawn, now that the queue has come to it."""
         self._queued_count -= 1
         self._resume_deferred()
 
-    def _withdraw(self, pending: PendingCall) -> None:
-        """Withdraw a call that was not begun, and count it as one whose client has left."""
-        pending.is_withdrawn = True
-        self._pending_count -= 1
-        sink = ThriftResponseSink(self, pending.call.seqid)
-        arrived_ms = pending.arrival.counted_from_ms
-        try:
-            request = decode_fields(pending.call, sink, arrived_ms, self._frontend.schema)
-        except InvalidCallError:
-            return
-        self._frontend.admission.registry.close(request)
-
-    def _admit_in_order(self, pending: PendingCall, request: Request, key: str) -> None:
-        """Admit a request of an order key once none that may be older can follow."""
-        arrival = pending.arrival
-        loans = self._frontend.key_loans
-        is_known = self._frontend.key_arrivals.admits(key, self, arrival.after_s, arrival.by_s)
-        if not is_known or loans.is_lent(key):
-            self._reject_unordered(pending, key)
-        elif loans.owner is None:
-            self._admit_request(pending.call.seqid, pending.call, request)
-        else:
-            self._pending_count += 1
-            loans.claim(
-                key,
-                arrival.after_s,
-                arrival.by_s,
-                lambda granted: self._on_claim_decided(pending, request, key, granted),
-            )
-
-    def _on_claim_decided(
-        self, pending: PendingCall, request: Request, key: str, granted: bool
-    ) -> None:
-        """Admit or reject a call for whose key another process was asked."""
-        if pending.is_withdrawn:
-            return
-        self._pending_count -= 1
-        if granted:
-            self._admit_request(pending.call.seqid, pending.call, request)
-        else:
-            self._reject_unordered(pending, key)
-
-    def _reject_unordered(self, pending: PendingCall, key: str) -> None:
-        log.warning("call_rejected reason=order_unknown key=%r", key)
-        self._reject(pending.call.seqid, pending.call)
-
-    def _is_ordered(self, request: Request) -> bool:
-        """Return whether requests of this class run in the order of their key."""
-        return self._frontend.schema.classes[request.arrival.query_class].ordered_by_key
-
-    def _admit_request(self, seqid: int, call: thrift.Execute, request: Request) -> None:
+    def open_request(self, seqid: int, request: Request) -> None:
+        """Replace the open call ``seqid`` by its request, which is about to be admitted."""
         self.open_calls[seqid] = request
         request.arrival.retry_budget_eligible = self.retry_credit > 0
         self.retry_credit = max(self.retry_credit - 1, 0)
-        if self._frontend.origin_of_port is not None:
-            request.claimed_team = call.fields.get("team")
-            request.origin = self.origin
-        self._frontend.admission.admit(request)
 
-    def _reject(self, seqid: int, call: thrift.Execute) -> None:
-        """Reject an open call that has not become a request; the client may retry."""
-        self._count_final_answer(FinalOutcome.REJECTED, call)
-        self.answer(seqid, encode_rejection(seqid, self._frontend.admission.retry_after_ms))
+    def await_claim(self) -> None:
+        """Count a call that waits for another process as one that is not begun."""
+        self._pending_count += 1
+
+    def claim_decided(self) -> None:
+        """End what ``await_claim`` began."""
+        self._pending_count -= 1
 
     def _close_malformed(self, reason: str) -> None:
         log.warning("client_closed reason=%r", reason)
         self.connection.close_gracefully(CloseReason.MALFORMED)
 
-    def _count_final_answer(self, outcome: FinalOutcome, call: thrift.Execute) -> None:
-        """Count a call that is answered before it becomes a request, if it names a class."""
-        query_class = call.fields.get("method")
-        if query_class is not None and query_class in self._frontend.schema.classes:
-            self._frontend.admission.registry.count_final_answer(outcome, query_class)
-
     # -- Answers
 
     def answer(self, seqid: int, data: bytes) -> None:
@@ -466,26 +374,11 @@
 
     def overdue(self, now_ms: float) -> CloseReason | None:
         """Return why the connection is to be closed; None if no time limit has passed."""
-        inactive_ms = now_ms - self.active_ms
-        if inactive_ms > RELEASE_BUFFERS_AFTER_MS:
+        if now_ms - self.active_ms > RELEASE_BUFFERS_AFTER_MS:
             self.connection.release_buffers()
-        if not self.connection.is_flushed:
-            return CloseReason.UNREAD_ANSWERS if inactive_ms > MAX_UNREAD_ANSWERS_MS else None
-        if self.open_calls:
-            return None
-        if self._call_is_overdue(now_ms):
-            called = self.has_called or len(self.connection.inbound)
-            return CloseReason.INCOMPLETE_CALL if called else CloseReason.NO_CALL
-        return CloseReason.IDLE if inactive_ms > MAX_IDLE_MS else None
-
-    def _call_is_overdue(self, now_ms: float) -> bool:
-        if self.incomplete_since_ms is None:
-            return False
-        max_call_ms = MAX_CALL_MS if self.has_called else MAX_FIRST_CALL_MS
-        return (
-            now_ms - self.active_ms > MAX_SILENCE_MS
-            or now_ms - self.incomplete_since_ms > max_call_ms
-        )
+            if not self.open_calls:
+                self.open_calls = NO_OPEN_CALLS
+        return overdue_reason(self, now_ms)
 
     # -- Hot restart
 
@@ -520,8 +413,7 @@
         """
         self.has_called = True
         self.incomplete_since_ms = None
-        for seqid in seqids:
-            self.open_calls[seqid] = HandedOverCall(seqid, on_disconnect)
+        self.open_calls = {seqid: HandedOverCall(seqid, on_disconnect) for seqid in seqids}
 
     def disconnect_call(self, seqid: int) -> None:
         """End a call after the successor has reported that its client no longer waits."""
@@ -547,20 +439,15 @@
         self._frontend.remove_client(self)
         self.deferred_calls = None
         disconnected = list(self.open_calls.values())
-        self.open_calls = {}
+        self.open_calls = NO_OPEN_CALLS
         for call in disconnected:
             self._disconnect(call)
 
-    def _disconnect(self, call: Request | PendingCall | HandedOverCall) -> None:
+    def _disconnect(self, call: OpenCall) -> None:
         if isinstance(call, Request):
             self._frontend.admission.disconnect(call)
         elif isinstance(call, PendingCall):
-            self._withdraw(call)
+            self._pending_count -= 1
+            self._frontend.call_admission.withdraw(self, call)
         else:
             call.disconnect()
-
-
-def _encode_invalid(seqid: int, name: str, kind: int, reason: str) -> bytes:
-    """Return the answer to an invalid call, and log it."""
-    log.warning("call_rejected reason=%r", reason)
-    return thrift.encode_application_exception(name, seqid, kind, reason)
--- a/umberusher/frontend/response_sink.py
+++ b/umberusher/frontend/response_sink.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Protocol
 
 from umberusher.protocol import thrift
 
+log = logging.getLogger(__name__)
+
 
 class AnsweringClient(Protocol):
     """The client connection on which a call arrived."""
@@ -54,3 +57,16 @@
     if backoff_ms is not None:
         fields["backoff"] = str(round(backoff_ms))
     return thrift.encode_trylater(seqid, fields)
+
+
+def encode_invalid(seqid: int, name: str, kind: int, reason: str) -> bytes:
+    """Return the answer to an invalid call, and log it.
+
+    Args:
+        seqid: The call's sequence id.
+        name: The called method.
+        kind: The type of the application exception.
+        reason: What is wrong with the call.
+    """
+    log.warning("call_rejected reason=%r", reason)
+    return thrift.encode_application_exception(name, seqid, kind, reason)
--- a/umberusher/frontend/thrift_frontend.py
+++ b/umberusher/frontend/thrift_frontend.py
@@ -8,10 +8,12 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from umberusher.frontend.call_admission import CallAdmission
 from umberusher.frontend.call_decoder import RequestSchema
 from umberusher.frontend.call_queue import CallQueue
-from umberusher.frontend.client_connection import ClientConnection, CloseReason
+from umberusher.frontend.client_connection import ClientConnection
 from umberusher.frontend.key_arrivals import RETENTION_S, KeyArrivals, KeyLoans
+from umberusher.frontend.time_limits import CloseReason
 from umberusher.net.connection import Connection, State
 from umberusher.net.listener import Listener
 from umberusher.net.loop import Loop
@@ -53,8 +55,8 @@
         closing: Connections in state CLOSING, the oldest first.
         large_calls: Clients with a large incomplete call.
         call_queue: The calls that wait to be begun, in the order of arrival.
+        call_admission: Begins them.
         key_arrivals: The latest arrivals of order keys.
-        key_loans: The order keys that this process shares with another one.
         peer_client_count: Clients of other processes of this broker.
         max_clients: Limit of clients of all processes of this broker together.
     """
@@ -98,7 +100,6 @@
         self.arrived_ms = arrived_ms
         self.accepts_clients = accepts_clients
         self.max_clients = max_clients
-        self.schema = schema
         self.origin_of_port = origin_of_port
         memory_bytes = memory_mb * BYTES_PER_MB
         self.max_frame_bytes = min(
@@ -114,7 +115,7 @@
         self.peer_client_count = 0
         self.call_queue = CallQueue(loop.clock)
         self.key_arrivals = key_arrivals
-        self.key_loans = key_loans
+        self.call_admission = CallAdmission(admission, schema, key_arrivals, key_loans)
         self._timestamps = ReceiveTimestamps(loop.clock, unix_clock)
         loop.add_deferred_work(self.call_queue)
 
--- a/umberusher/net/timed_connection.py
+++ b/umberusher/net/timed_connection.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import math
 import socket
 
 from umberusher.net.connection import MAX_PENDING_READS, Connection, State, prepare_socket
 from umberusher.net.loop import Loop
 from umberusher.net.receive_timestamps import ReceiveTimestamps
 
+# One object for all idle connections, which are the majority.
+LONG_AGO_S = -math.inf
+
 
 class TimedConnection(Connection):
     """A connection that reads until the kernel holds no more, and bounds the times of arrival.
@@ -24,8 +28,6 @@
     """
 
     __slots__ = (
-        "_has_timestamps",
-        "_holds_more",
         "_timestamps",
         "_unread_at_poll",
         "_unread_since_s",
@@ -57,52 +59,55 @@
         """
         prepare_socket(sock)
         super().__init__(loop, sock, State.OPEN, max_inbound_bytes, max_outbound_bytes)
-        self._timestamps = timestamps
-        self._has_timestamps = timestamps.enable(sock)
-        # The kernel may have held input since then, when the loop made this poll.
+        self._timestamps = timestamps if timestamps.enable(sock) else None
+        # The kernel may have held input since then, when the loop made this poll; 0 for none.
         self._unread_since_s = established_after_s
         self._unread_at_poll = loop.poll_count
-        self._holds_more = False
         self.received_after_s = established_after_s
         self.received_by_s = established_after_s
         self.last_byte_is_timed = False
         self.buffered_since_s: float | None = None
 
+    def release_buffers(self) -> None:
+        """Release the memory of empty buffers, and of times that the next read sets anew."""
+        super().release_buffers()
+        if self.buffered_since_s is None and self.loop.poll_count > self._unread_at_poll + 1:
+            self._unread_since_s = LONG_AGO_S
+            self._unread_at_poll = 0
+            self.received_after_s = LONG_AGO_S
+            self.received_by_s = LONG_AGO_S
+
     def _read(self) -> bool:
         """Read until the kernel holds no more, a bounded number of times."""
         if not super()._read():
             return False
         for _ in range(MAX_PENDING_READS - 1):
-            if not self._holds_more or self.state is not State.OPEN:
+            holds_more = self._unread_at_poll == self.loop.poll_count
+            if not holds_more or self.state is not State.OPEN:
                 break
             if not self.inbound.free_bytes or not super()._read():
                 break
         return True
 
-    def _arrived_after_s(self) -> float:
-        """Return the time after which all that the kernel holds now has arrived."""
-        after_s = self.loop.previous_poll_s
+    def _receive(self) -> int:
+        loop = self.loop
+        after_s = loop.previous_poll_s
         # A later poll would have reported input that the kernel held then.
-        if self.loop.poll_count <= self._unread_at_poll + 1:
+        if loop.poll_count <= self._unread_at_poll + 1:
             after_s = min(after_s, self._unread_since_s)
         if self.buffered_since_s is not None:
             after_s = min(after_s, self.buffered_since_s)
-        return after_s
-
-    def _receive(self) -> int:
-        after_s = self._arrived_after_s()
         arrived_by_s = None
         span = self.inbound.writable_span()
-        if self._has_timestamps and self.loop.inputs_may_be_unordered:
+        if self._timestamps is not None and loop.inputs_may_be_unordered:
             count, arrived_by_s = self._timestamps.receive(self.sock, span, after_s)
         else:
             count = self.sock.recv_into(span)
         self.inbound.commit(count)
-        self._holds_more = count == len(span)
-        if self._holds_more:
-            self._unread_since_s = after_s
-            self._unread_at_poll = self.loop.poll_count
+        holds_more = count == len(span)
+        self._unread_since_s = after_s
+        self._unread_at_poll = loop.poll_count if holds_more else 0
         self.received_after_s = after_s
-        self.received_by_s = self.loop.clock() if arrived_by_s is None else arrived_by_s
-        self.last_byte_is_timed = arrived_by_s is not None and not self._holds_more
+        self.received_by_s = loop.clock() if arrived_by_s is None else arrived_by_s
+        self.last_byte_is_timed = arrived_by_s is not None and not holds_more
         return count
