Keep a step of the loop cheap; end only its connection when a call raises

Each step polled twice where it had waited, and went through a dictionary of events. An exception while a queued call is begun would have left that call without an answer. Change: a second poll only after a wait of over 20 ms; events go through the dictionary only if there are more than one step handles. An exception ends the call's connection. Test: test_call_queue_continues_when_a_call_raises.

--- a/tests/frontend/test_call_queue.py
+++ b/tests/frontend/test_call_queue.py
@@ -14,6 +14,7 @@
         self.now = 0.0
         self.begun: list[int] = []
         self.dropped_count = 0
+        self.has_failed = False
 
     def begin_call(self, pending: PendingCall) -> None:
         self.now += self.cost_s
@@ -22,6 +23,9 @@
     def drop_call(self) -> None:
         self.dropped_count += 1
 
+    def close_after_fault(self) -> None:
+        self.has_failed = True
+
     def call(self, number: int, by_s: float) -> PendingCall:
         return PendingCall(self, Execute(number, {}, b""), Arrival(0.0, 0.0, by_s))
 
@@ -72,3 +76,21 @@
     queue.add(client.call(2, 2.0))
     queue.run()
     assert client.begun == [2] and client.dropped_count == 1
+
+
+def test_call_queue_continues_when_a_call_raises():
+    """An exception must end the connection of its call, and no other call."""
+    failing = Client()
+    other = Client()
+    queue = CallQueue(lambda: 0.0)
+
+    def raise_error(_pending):
+        raise ValueError("fault")
+
+    failing.begin_call = raise_error
+    queue.add(failing.call(1, 1.0))
+    queue.add(other.call(2, 2.0))
+    while queue.is_pending:
+        queue.run()
+    assert failing.has_failed and not other.has_failed
+    assert other.begun == [2] and not queue.is_pending
--- a/umberusher/frontend/call_queue.py
+++ b/umberusher/frontend/call_queue.py
@@ -6,12 +6,15 @@
 
 from __future__ import annotations
 
+import logging
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from umberusher.protocol import thrift
 
+log = logging.getLogger(__name__)
+
 # Time after which all connections are read again before further calls are begun.
 MAX_RUN_S = 0.005
 
@@ -39,6 +42,9 @@
     def drop_call(self) -> None:
         """Account for a withdrawn call, now that the queue has come to it."""
 
+    def close_after_fault(self) -> None:
+        """Close the connection: one of its calls has raised an exception."""
+
 
 class PendingCall:
     """A call that waits to be begun.
@@ -89,7 +95,10 @@
         self.is_pending = True
 
     def run(self) -> None:
-        """Begin calls for a bounded time; all connections that were ready have been read."""
+        """Begin calls for a bounded time; all connections that were ready have been read.
+
+        An exception of a call ends its connection, and this run.
+        """
         received = self._received
         self._received = []
         if len(received) > 1 or self._sorted:
@@ -97,14 +106,20 @@
         else:
             self._sorted.extend(received)
         ends_at_s = self._clock() + MAX_RUN_S
-        while self._sorted:
-            pending = self._sorted.popleft()
-            if pending.is_withdrawn:
-                pending.client.drop_call()
-            else:
-                pending.client.begin_call(pending)
-            if self._clock() >= ends_at_s:
-                break
+        pending = None
+        try:
+            while self._sorted:
+                pending = self._sorted.popleft()
+                if pending.is_withdrawn:
+                    pending.client.drop_call()
+                else:
+                    pending.client.begin_call(pending)
+                if self._clock() >= ends_at_s:
+                    break
+        except Exception:
+            log.exception("call_failed")
+            if pending is not None:
+                pending.client.close_after_fault()
         # Beginning a call may have read further ones.
         self.is_pending = bool(self._sorted or self._received)
 
--- a/umberusher/frontend/client_connection.py
+++ b/umberusher/frontend/client_connection.py
@@ -310,6 +310,10 @@
         self._queued_count -= 1
         self._resume_deferred()
 
+    def close_after_fault(self) -> None:
+        """Close the connection: beginning one of its calls has raised an exception."""
+        self.connection.close("fault")
+
     def open_request(self, seqid: int, request: Request) -> None:
         """Replace the open call ``seqid`` by its request, which is about to be admitted."""
         self.open_calls[seqid] = request
--- a/umberusher/hot_restart/key_ownership.py
+++ b/umberusher/hot_restart/key_ownership.py
@@ -10,7 +10,6 @@
 
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
 from umberusher.hot_restart.messages import KeyClaim, KeyClaimAnswer, KeyRelease
@@ -36,23 +35,27 @@
         """Check a call of ``client`` that arrived after ``after_s`` and by ``by_s``."""
 
 
-@dataclass(slots=True)
 class _Claim:
     """A claim of this process on a key of its predecessor."""
 
-    key: str
-    claimed_at_s: float
-    is_granted: bool = False
-    on_decided: list[Callable[[bool], None]] = field(default_factory=list)
+    __slots__ = ("claimed_at_s", "is_granted", "key", "on_decided")
+
+    def __init__(self, key: str, claimed_at_s: float) -> None:
+        self.key = key
+        self.claimed_at_s = claimed_at_s
+        self.is_granted = False
+        self.on_decided: list[Callable[[bool], None]] = []
 
 
-@dataclass(slots=True)
 class _Loan:
     """A key that a successor has claimed from this process."""
 
-    peer: KeyPeer
-    number: int
-    is_granted: bool = False
+    __slots__ = ("is_granted", "number", "peer")
+
+    def __init__(self, peer: KeyPeer, number: int) -> None:
+        self.peer = peer
+        self.number = number
+        self.is_granted = False
 
 
 class KeyOwnership:
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -32,6 +32,8 @@
 MAX_TIMERS_PER_STEP = 64
 # A poll that takes longer than this has blocked: no event was ready when it began.
 MIN_BLOCKING_POLL_S = 0.001
+# The time at which a poll has found a descriptor empty is known to within this.
+MAX_POLL_UNCERTAINTY_S = 0.02
 # A step that is late by more than this shows that the process was suspended or not scheduled.
 STALL_THRESHOLD_S = 0.05
 # Upper bound of the time after a stall in which the input that arrived during it is read.
@@ -249,7 +251,10 @@
 
     @property
     def _has_pending_work(self) -> bool:
-        return any(work.is_pending for work in self._deferred_work)
+        for work in self._deferred_work:  # noqa: SIM110  (called in each step)
+            if work.is_pending:
+                return True
+        return False
 
     def _run_deferred_work(self) -> None:
         for work in self._deferred_work:
@@ -264,10 +269,7 @@
 
     def step(self, longest_ms: float = DEFAULT_MAX_WAIT_MS) -> None:
         """Wait for events or the next timer, at most ``longest_ms``, then run what is ready."""
-        if not self._ready:
-            self._poll_ready(longest_ms)
-        fds = list(itertools.islice(self._ready, MAX_EVENTS_PER_STEP))
-        ready = [(fd, self._ready.pop(fd)) for fd in fds]
+        ready = self._take_ready() if self._ready else self._poll_ready(longest_ms)
         if self._prioritized:
             ready = self.priority_epoll.poll(0) + ready
         self._resume_ready(ready)
@@ -275,8 +277,13 @@
             self._run_deferred_work()
         self._run_due_timers()
 
-    def _poll_ready(self, longest_ms: float) -> None:
-        """Poll all descriptors; wait only if no work is pending."""
+    def _take_ready(self) -> list[tuple[int, int]]:
+        """Return events of the last poll that were not handled yet, up to a bounded number."""
+        fds = list(itertools.islice(self._ready, MAX_EVENTS_PER_STEP))
+        return [(fd, self._ready.pop(fd)) for fd in fds]
+
+    def _poll_ready(self, longest_ms: float) -> list[tuple[int, int]]:
+        """Poll all descriptors, waiting only if no work is pending; return the events to handle."""
         timeout_s = 0.0 if self._has_pending_work else longest_ms / MS_PER_S
         due_s = self.next_timer_due_s()
         began_s = self.clock()
@@ -284,7 +291,7 @@
             timeout_s = min(timeout_s, max(due_s - began_s, 0.0))
         ready = self._poll_all(timeout_s)
         self._update_oldest_input_time(began_s, timeout_s, bool(ready))
-        if ready and self._last_poll_s - began_s > MIN_BLOCKING_POLL_S:
+        if ready and self._last_poll_s - began_s > MAX_POLL_UNCERTAINTY_S:
             # The poll has waited, so the time at which it looked last is not known.
             began_s = self.clock()
             ready = self._poll_all(0.0)
@@ -294,7 +301,10 @@
         self.inputs_may_be_unordered = (
             len(ready) > 1 and self._last_poll_s - self.previous_poll_s > MAX_UNORDERED_INPUT_S
         )
+        if len(ready) <= MAX_EVENTS_PER_STEP:
+            return ready
         self._ready = dict(ready)
+        return self._take_ready()
 
     def _poll_all(self, timeout_s: float) -> list[tuple[int, int]]:
         """Return the events of all ready descriptors, however many."""
