--- /dev/null
+++ b/tests/broker/broker_process.py
@@ -0,0 +1,163 @@
+"""A broker as a real process, an engine that answers at once, and clients that block."""
+
+from __future__ import annotations
+
+import contextlib
+import copy
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+from tests.test_config import CONF
+from tests.thrift_messages import execute
+
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+SAMPLE_INTERVAL_S = 0.002
+START_TIMEOUT_S = 10.0
+
+
+def free_address() -> tuple[str, int]:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()
+
+
+class AnsweringEngine:
+    """An engine that answers each request with one row; it counts the requests by id."""
+
+    def __init__(self) -> None:
+        self.server = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.started_ids: list[bytes] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self.server.accept()
+                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError, ValueError), sock, sock.makefile("rb") as source:
+            while line := source.readline():
+                words = line.split()
+                if words[0] == b"REQ":
+                    source.read(int(words[3]) + 2)
+                    self.started_ids.append(words[1])
+                    sock.sendall(words[1] + b" HIT count=1 6\r\na\tb\tc\n\r\n")
+                elif words[0] in (b"HELO", b"STAT"):
+                    sock.sendall(words[1] + b" PONG -\r\n")
+
+    def close(self) -> None:
+        self.server.close()
+
+
+class BrokerProcess:
+    """One broker process, whose private memory is sampled all the time.
+
+    Attributes:
+        peak_mb: The most private memory that was seen, in MB of 10^6 bytes.
+    """
+
+    def __init__(self, folder: Path, memory_mb: int, descriptors: int = 1024) -> None:
+        self.memory_mb = memory_mb
+        self.engine = AnsweringEngine()
+        self.address = free_address()
+        board = free_address()
+        host, port = self.engine.server.getsockname()
+        conf = copy.deepcopy(CONF) | {
+            "listen": f"{self.address[0]}:{self.address[1]}",
+            "board": f"{board[0]}:{board[1]}",
+        }
+        conf["limits"] = {"cores": 1.0, "memory_mb": memory_mb, "sockets": descriptors}
+        entry = {
+            "instanceId": "s-0",
+            "hostPort": f"{host}:{port}",
+            "zone": "a",
+            "cell": 1,
+            "machineType": "std-8",
+            "lifecycle": "SERVING",
+            "weight": 1,
+            "startedAtMs": 0,
+        }
+        conf["known"] = {
+            "rev": 1,
+            "notices": [{"rev": 1, "pool": {"reset": True, "instances": [entry]}}],
+        }
+        path = folder / "config.json"
+        path.write_text(json.dumps(conf))
+        env = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "umberusher", "serve"],
+            env=env | {"LB_CONFIG": str(path), "TMPDIR": str(folder)},
+            stderr=subprocess.DEVNULL,
+        )
+        self.peak_mb = 0.0
+        self._stopped = threading.Event()
+        self._watcher = threading.Thread(target=self._watch, daemon=True)
+        self._watcher.start()
+        self._await_ready()
+
+    def private_mb(self) -> float:
+        _, resident, shared, *_ = map(
+            int, Path(f"/proc/{self.process.pid}/statm").read_text().split()
+        )
+        return (resident - shared) * PAGE_BYTES / 1e6
+
+    def _watch(self) -> None:
+        with contextlib.suppress(OSError, ValueError):
+            while not self._stopped.wait(SAMPLE_INTERVAL_S):
+                self.peak_mb = max(self.peak_mb, self.private_mb())
+
+    def _await_ready(self) -> None:
+        """Wait until the process serves: without discovery it waits 3 s for its first answer."""
+        give_up_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < give_up_s:
+            with contextlib.suppress(OSError), SoundClient(self) as client:
+                if client.lookup() == "served":
+                    return
+            time.sleep(0.05)
+        raise AssertionError("the broker process does not serve")
+
+    def connect(self) -> socket.socket:
+        return socket.create_connection(self.address, timeout=5)
+
+    def close(self) -> None:
+        self._stopped.set()
+        self._watcher.join()
+        self.process.send_signal(signal.SIGKILL)
+        self.process.wait()
+        self.engine.close()
+
+
+class SoundClient:
+    """A client that sends one request after the other and waits for each answer."""
+
+    def __init__(self, broker: BrokerProcess) -> None:
+        self._sock = broker.connect()
+        self._source = self._sock.makefile("rb")
+        self._number = 0
+
+    def __enter__(self) -> SoundClient:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._source.close()
+        self._sock.close()
+
+    def lookup(self, statement: bytes = b"select 1") -> str:
+        """Return how a lookup was answered: served, refused or failed."""
+        self._number += 1
+        rid = f"{id(self) & 0xFFFFFFFF:08x}{self._number:08x}"
+        fields = {"method": "lookup", "rid": rid, "budget": "2500"}
+        self._sock.sendall(execute(self._number, fields, statement))
+        (size,) = struct.unpack(">i", self._source.read(4))
+        frame = self._source.read(size)
+        if b"a\tb\tc\n" in frame:
+            return "served"
+        return "refused" if b"\x0c\x00\x01" in frame else "failed"
--- a/umberusher/admin/server.py
+++ b/umberusher/admin/server.py
@@ -11,6 +11,7 @@
 from umberusher.net.connection import Connection, RawMessage, State
 from umberusher.net.listener import Listener
 from umberusher.net.loop import Loop
+from umberusher.net.ring import RingMemory
 from umberusher.protocol.ops import AdminCall, AdminProtocol, AdminResponse, MalformedCall
 
 if TYPE_CHECKING:
@@ -93,9 +94,16 @@
         listener: The listener; None before it is opened.
     """
 
-    __slots__ = ("_backend", "_loop", "listener", "now_ms", "sessions")
+    __slots__ = ("_backend", "_loop", "_memory", "listener", "now_ms", "sessions")
 
-    def __init__(self, loop: Loop, now_ms: Callable[[], float], backend: AdminBackend) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        now_ms: Callable[[], float],
+        backend: AdminBackend,
+        memory: RingMemory | None = None,
+    ) -> None:
+        self._memory = memory
         self._loop = loop
         self._backend = backend
         self.now_ms = now_ms
@@ -119,6 +127,8 @@
         conn = connection.adopt_socket(
             self._loop, sock, INBOUND_BUFFER_BYTES, OUTBOUND_BUFFER_BYTES
         )
+        if self._memory is not None:
+            conn.charge_to(self._memory)
         self._loop.prioritize(conn.fd)
         self.sessions[AdminSession(self, conn)] = None
         self._loop.spawn(conn.serve())
--- a/umberusher/broker/broker.py
+++ b/umberusher/broker/broker.py
@@ -13,7 +13,7 @@
 from umberusher.admin.server import AdminServer
 from umberusher.broker.action_dispatch import ActionDispatcher
 from umberusher.broker.admin_backend import BrokerAdminBackend
-from umberusher.broker.memory_pressure import SharedLimits, resident_mb
+from umberusher.broker.memory_pressure import ProcessMemory, SharedLimits, resident_mb
 from umberusher.broker.readiness import Readiness
 from umberusher.broker.reload import ConfigReloader
 from umberusher.broker.restart_host import BrokerRestartHost
@@ -39,6 +39,7 @@
 from umberusher.hot_restart.key_ownership import KeyOwnership
 from umberusher.hot_restart.successor import HandoverRefused, HandoverState, request_handover
 from umberusher.net.loop import Loop
+from umberusher.net.memory_account import MemoryAccount, SharedMemory
 from umberusher.pipeline.admission import RequestAdmission
 from umberusher.pipeline.request_registry import RequestRegistry
 from umberusher.upstream.context import UpstreamSettings
@@ -67,6 +68,7 @@
         timeline: Converts between the clocks and the broker's time.
         now_ms: Returns the broker's time in milliseconds.
         contracts: Enforces the teams' contracts; None without contracts.
+        memory: The account of all memory that peers make this process hold.
         action_handlers: The function that executes an action, by the action's type.
     """
 
@@ -103,13 +105,16 @@
         self._events: deque[Event] = deque()
         self._is_handling_events = False
         self._shutdown_request = ShutdownRequest(self.loop.clock)
+        self._process_memory = ProcessMemory(config.memory_mb, memory_mb)
+        self.memory = MemoryAccount(self._process_memory.headroom_bytes)
+        self.loop.add_deferred_work(self.memory)
         descriptors = config.max_descriptors - RESERVED_DESCRIPTORS
         engine_descriptors = int(descriptors * ENGINE_DESCRIPTOR_FRACTION)
         self._wire_decisions()
         self._wire_upstream(engine_descriptors, receipts)
         self._wire_frontend(descriptors - engine_descriptors)
         self._wire_hot_restart(handover_path, memory_mb)
-        self._wire_operation(load_config or (lambda: config), memory_mb)
+        self._wire_operation(load_config or (lambda: config))
 
     # -- Construction
 
@@ -134,6 +139,7 @@
             self.endpoints.apply,
             config.max_list_bytes,
             Random(f"{config.seed:x} {config.name}"),
+            SharedMemory(self.memory),
         )
         self.readiness = Readiness(
             self.loop.clock, self.endpoints, self.discovery, self.balancer, self._shutdown_request
@@ -157,6 +163,7 @@
                 receipts=receipts,
                 health_checks=limits.health_checks,
             ),
+            SharedMemory(self.memory),
         )
         dispatcher = ActionDispatcher(
             self.loop, self.post, self.registry, self.upstream, self.contracts
@@ -193,6 +200,7 @@
             self.key_arrivals,
             self.key_ownership,
             config.memory_mb,
+            self.memory,
             None if self.contracts is None else self.contracts.origin,
         )
 
@@ -214,13 +222,11 @@
             on_manual_drain=self.hot_restart.publish_manual_drain,
         )
 
-    def _wire_operation(
-        self, load_config: Callable[[], Config], memory_mb: Callable[[], float]
-    ) -> None:
+    def _wire_operation(self, load_config: Callable[[], Config]) -> None:
         config = self.config
         self.shared_limits = SharedLimits(
-            config.memory_mb,
-            memory_mb,
+            self._process_memory,
+            self.memory,
             self.hot_restart,
             self.registry,
             self.admission,
@@ -246,7 +252,9 @@
             self.upstream,
             self.contracts,
         )
-        self.admin = AdminServer(self.loop, self.now_ms, self.admin_backend)
+        self.admin = AdminServer(
+            self.loop, self.now_ms, self.admin_backend, SharedMemory(self.memory)
+        )
 
     # -- Event handling
 
--- a/umberusher/broker/memory_pressure.py
+++ b/umberusher/broker/memory_pressure.py
@@ -7,6 +7,7 @@
 
 from umberusher.frontend.thrift_frontend import ThriftFrontend
 from umberusher.hot_restart.hot_restart import HotRestart
+from umberusher.net.memory_account import MemoryAccount
 from umberusher.pipeline.admission import RequestAdmission
 from umberusher.pipeline.request_registry import RequestRegistry
 from umberusher.upstream.upstream import Upstream
@@ -18,6 +19,10 @@
 FULL_FRACTION = 0.92
 """Fraction of the memory limit above which no request is admitted."""
 
+ACCOUNT_FRACTION = 0.85
+"""Fraction of the memory limit up to which memory is charged to peers. The rest is for copies that
+exist while one message is processed, and for what the allocator loses."""
+
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 BYTES_PER_MB = 1e6
 
@@ -63,15 +68,47 @@
         return used_fraction > FULL_FRACTION or open_request_count > self.peak_open_requests / 2
 
 
+class ProcessMemory:
+    """What this process may still allocate, beside the other processes of its broker.
+
+    Attributes:
+        peers_mb: The memory of the other processes.
+    """
+
+    __slots__ = ("_limit_mb", "_memory_mb", "peers_mb")
+
+    def __init__(self, limit_mb: float, memory_mb: Callable[[], float]) -> None:
+        self._limit_mb = limit_mb
+        self._memory_mb = memory_mb
+        self.peers_mb = 0.0
+
+    @property
+    def total_mb(self) -> float:
+        """The memory of all processes of this broker."""
+        return self._memory_mb() + self.peers_mb
+
+    @property
+    def used_fraction(self) -> float:
+        """The memory in use, as a fraction of the limit."""
+        return self.total_mb / self._limit_mb
+
+    def headroom_bytes(self) -> float:
+        """Return how much more may be allocated; in an upgrade each process has half of it."""
+        headroom_mb = ACCOUNT_FRACTION * self._limit_mb - self.total_mb
+        if self.peers_mb and headroom_mb > 0.0:
+            headroom_mb /= 2
+        return headroom_mb * BYTES_PER_MB
+
+
 class SharedLimits:
     """Applies the shared limits: usage of the other processes reduces what this one may use."""
 
     __slots__ = (
+        "_account",
         "_admission",
         "_frontend",
         "_hot_restart",
-        "_memory_limit_mb",
-        "_memory_mb",
+        "_process_memory",
         "_registry",
         "_upstream",
         "pressure",
@@ -79,16 +116,16 @@
 
     def __init__(
         self,
-        memory_limit_mb: float,
-        memory_mb: Callable[[], float],
+        process_memory: ProcessMemory,
+        account: MemoryAccount,
         hot_restart: HotRestart,
         registry: RequestRegistry,
         admission: RequestAdmission,
         frontend: ThriftFrontend,
         upstream: Upstream,
     ) -> None:
-        self._memory_limit_mb = memory_limit_mb
-        self._memory_mb = memory_mb
+        self._process_memory = process_memory
+        self._account = account
         self._hot_restart = hot_restart
         self._registry = registry
         self._admission = admission
@@ -102,6 +139,8 @@
         peers = self._hot_restart.usage_of_peers()
         self._frontend.peer_client_count = peers.client_count
         self._upstream.pool.open_elsewhere = peers.engine_connection_count
-        used_fraction = (self._memory_mb() + peers.memory_mb) / self._memory_limit_mb
-        open_request_count = len(self._registry.requests)
-        self._admission.memory_pressure = self.pressure.update(used_fraction, open_request_count)
+        self._process_memory.peers_mb = peers.memory_mb
+        self._account.measure()
+        self._admission.memory_pressure = self.pressure.update(
+            self._process_memory.used_fraction, len(self._registry.requests)
+        )
--- a/umberusher/discovery/client.py
+++ b/umberusher/discovery/client.py
@@ -18,7 +18,7 @@
 from umberusher.net import connection
 from umberusher.net.connection import Connection, RawMessage, State
 from umberusher.net.loop import Loop, Timer
-from umberusher.net.ring import RingBuffer
+from umberusher.net.ring import RingBuffer, RingMemory
 from umberusher.protocol import discovery as codec
 from umberusher.protocol.discovery import (
     DEFAULT_MAX_ANSWER_BYTES,
@@ -54,6 +54,8 @@
 # not reconnect at the same time.
 MIN_JITTER_FRACTION = 0.5
 READ_BUFFER_BYTES = 1 << 14
+# Memory for each byte of an answer: the bytes, their text, and the document that it is parsed to.
+MEMORY_PER_ANSWER_BYTE = 4
 
 # Causes that are logged once, in addition to those of protocol errors and of closed connections.
 REVISION_REGRESSED = "revision regressed"
@@ -104,6 +106,7 @@
         on_watch_event: Callable[[WatchEvent], None],
         max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES,
         random: Random | None = None,
+        memory: RingMemory | None = None,
     ) -> None:
         """Create a client; :meth:`start` connects it.
 
@@ -114,6 +117,7 @@
             on_watch_event: Called with each watch event that is newer than the known revision.
             max_answer_bytes: Longest answer that is read.
             random: Source of the jitter of waits.
+            memory: Where buffers and answers are charged; None without an account.
         """
         self.loop = loop
         self.address = address
@@ -121,6 +125,8 @@
         self.on_watch_event = on_watch_event
         self.max_answer_bytes = max_answer_bytes
         self.random = random or Random(0)
+        self._memory = memory
+        self._answer_memory_bytes = 0
         self.state = DiscoveryState.IDLE
         self.has_answered = False
         self.connection: Connection | None = None
@@ -140,7 +146,7 @@
             return
         try:
             opened = connection.connect(
-                self.loop, self.address, READ_BUFFER_BYTES, READ_BUFFER_BYTES
+                self.loop, self.address, READ_BUFFER_BYTES, READ_BUFFER_BYTES, self._memory
             )
         except connection.ConnectError as error:
             self._on_connection_failed(error.reason)
@@ -190,6 +196,7 @@
     def _disconnect(self) -> None:
         """Close the connection and cancel the timer."""
         self._cancel_timer()
+        self._release_answer()
         dropped = self.connection
         self.connection = None
         if dropped is not None:
@@ -254,15 +261,27 @@
             self._on_unusable_answer(error)
             return
         if answer is not None:
+            self._release_answer()
             self._on_answer(answer)
 
+    def _release_answer(self) -> None:
+        """Release the memory that was charged for an answer."""
+        if self._memory is not None:
+            self._memory.release(self._answer_memory_bytes)
+        self._answer_memory_bytes = 0
+
     def _read_answer(self, conn: Connection) -> PollAnswer | None:
         """Read what has arrived; return None while the answer is incomplete.
 
         The parsed document is released on return, before its events are applied, to bound the
         memory.
         """
-        document = self.poll_client.feed(conn.inbound.take(len(conn.inbound)))
+        data = conn.inbound.take(len(conn.inbound))
+        if self._memory is not None:
+            added_bytes = len(data) * MEMORY_PER_ANSWER_BYTE
+            self._answer_memory_bytes += added_bytes
+            self._memory.charge(added_bytes)
+        document = self.poll_client.feed(data)
         if document is None:
             if conn.inbound.limit > conn.inbound.allocated_bytes:
                 # The answer is longer than one read, so later reads use a full-size buffer.
--- a/umberusher/frontend/call_admission.py
+++ b/umberusher/frontend/call_admission.py
@@ -42,6 +42,9 @@
     def open_request(self, seqid: int, request: Request) -> None:
         """Replace the open call ``seqid`` by its request."""
 
+    def write_answer(self, data: bytes) -> None:
+        """Write an answer to a call that is not open."""
+
     def await_claim(self) -> None:
         """Count a call that waits for another process as one that is not begun."""
 
@@ -141,9 +144,13 @@
         rejection = encode_rejection(call.seqid, self._admission.retry_after_ms)
         client.answer(call.seqid, rejection)
 
+    def reject_unread(self, client: AdmittedClient, seqid: int) -> None:
+        """Reject a call that has not arrived whole, and whose class is not known."""
+        client.write_answer(encode_rejection(seqid, self._admission.retry_after_ms))
+
     def withdraw(self, client: AdmittedClient, pending: PendingCall) -> None:
         """Count a call that was not begun as a request whose client has disconnected."""
-        pending.is_withdrawn = True
+        pending.withdraw()
         sink = ThriftResponseSink(client, pending.call.seqid)
         arrived_ms = pending.arrival.counted_from_ms
         try:
--- a/umberusher/frontend/call_decoder.py
+++ b/umberusher/frontend/call_decoder.py
@@ -28,6 +28,11 @@
 DEFAULT_ENGINE_MEMORY_MB = 1e6
 MAX_ORDER_KEY_CHARACTERS = 256
 
+# The fields that a call may have.
+CALL_FIELDS = frozenset(
+    ["acct", "again", "budget", "est", "method", "obj", "ram", "rid", "team", "token"]
+)
+
 _REQUEST_ID = re.compile(r"[0-9a-fA-F]{16}")
 # The key is one field of the line that an engine is sent: no comma and no equals sign.
 _IDEMPOTENCY_KEY = re.compile(r"[!-+\--<>-~]{0,256}")
--- a/umberusher/frontend/call_queue.py
+++ b/umberusher/frontend/call_queue.py
@@ -54,9 +54,10 @@
         call: The call.
         arrival: When it arrived.
         is_withdrawn: Whether its client no longer waits for it.
+        held_bytes: What is charged to its client for it.
     """
 
-    __slots__ = ("arrival", "call", "client", "is_withdrawn")
+    __slots__ = ("arrival", "call", "client", "held_bytes", "is_withdrawn")
 
     def __init__(self, client: CallingClient, call: thrift.Execute, arrival: Arrival) -> None:
         """Create a call that is not queued yet."""
@@ -64,6 +65,12 @@
         self.call = call
         self.arrival = arrival
         self.is_withdrawn = False
+        self.held_bytes = 0
+
+    def withdraw(self) -> None:
+        """Mark the call as withdrawn and free its statement; the queue drops it in its turn."""
+        self.is_withdrawn = True
+        self.call.body = b""
 
 
 def _arrived_by_s(pending: PendingCall) -> float:
--- a/umberusher/frontend/client_connection.py
+++ b/umberusher/frontend/client_connection.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from umberusher.frontend.call_admission import CallAdmission
+from umberusher.frontend.call_decoder import CALL_FIELDS
 from umberusher.frontend.call_queue import Arrival, CallQueue, PendingCall
 from umberusher.frontend.deferred_calls import Call, DeferredCalls
 from umberusher.frontend.handed_over_call import HandedOverCall
@@ -19,6 +20,7 @@
 from umberusher.frontend.time_limits import CloseReason, overdue_reason
 from umberusher.net.connection import RawMessage, State
 from umberusher.net.loop import Loop
+from umberusher.net.memory_account import MemoryAccount
 from umberusher.net.timed_connection import TimedConnection
 from umberusher.pipeline.admission import RequestAdmission
 from umberusher.pipeline.request import Request
@@ -41,6 +43,15 @@
 RELEASE_BUFFERS_AFTER_MS = 1_000.0
 
 
+# Memory of an open call beside its statement: its fields, the request and the decisions' record.
+CALL_OVERHEAD_BYTES = 4_096
+# A field's text takes up to this many bytes for each byte on the wire.
+MAX_BYTES_PER_TEXT_BYTE = 4
+# Memory of an answer that waits to be written, beside its bytes.
+ANSWER_OVERHEAD_BYTES = 256
+# A connection that holds more than this fraction of the memory for peers has calls queued, not
+# read, until some were begun.
+MAX_QUEUED_MEMORY_FRACTION = 1 / 8
 OpenCall = Request | PendingCall | HandedOverCall
 # The open calls of all connections that have none, which are the majority; never changed.
 NO_OPEN_CALLS: dict[int, OpenCall] = {}
@@ -58,6 +69,7 @@
         arrived_ms: Returns the earliest time at which input that is read now may have arrived.
         accepts_clients: Returns whether clients should use this broker.
         origin_of_port: Returns the origin of connections to a port; None if origins are not used.
+        memory: The account to which the clients' memory is charged.
         max_frame_bytes: Limit of one frame.
         max_large_calls: Limit of large incomplete calls of all clients.
         large_calls: The clients with a large incomplete call.
@@ -71,6 +83,7 @@
     arrived_ms: Callable[[], float]
     accepts_clients: Callable[[], bool]
     origin_of_port: Callable[[int], Origin] | None
+    memory: MemoryAccount
     max_frame_bytes: int
     max_large_calls: int
     large_calls: set[ClientConnection]
@@ -80,18 +93,28 @@
 
 
 class AnswerMessage(RawMessage):
-    """An answer that calls a function once the kernel has accepted its last byte."""
+    """An answer that notifies its client's connection once the kernel has its last byte.
 
-    __slots__ = ("on_written",)
+    Attributes:
+        held_bytes: What is charged for it while it waits; 0 if it was written at once.
+        is_written: Whether the kernel has accepted its last byte.
+    """
+
+    __slots__ = ("_client", "held_bytes", "is_written")
 
-    def __init__(self, data: bytes, on_written: Callable[[], None]) -> None:
+    def __init__(self, data: bytes, client: ClientConnection) -> None:
         """Create the message."""
         self.data = data
-        self.on_written = on_written
+        self._client = client
+        self.held_bytes = 0
+        self.is_written = False
 
     def written(self) -> None:
-        """Resume what waited for the answer to be written."""
-        self.on_written()
+        """Release its memory, and resume what waited for it to be written."""
+        self.is_written = True
+        if self.held_bytes:
+            self._client.release_answer(self.held_bytes)
+        self._client.resume_deferred()
 
 
 class ClientConnection:
@@ -105,6 +128,7 @@
             so that an idle client holds no queue.
         forward_answer: Sends answers through the process that has received the connection; None
             while the connection is here.
+        held_bytes: What the account of memory has charged to this connection.
         active_ms: When the client was last active.
         has_called: Whether a complete call has arrived.
         incomplete_since_ms: Since when the first call, or the rest of a call, is awaited.
@@ -118,11 +142,14 @@
         "_pending_count",
         "_queued_count",
         "_resume_planned",
+        "_skip_bytes",
+        "_unwritten_bytes",
         "active_ms",
         "connection",
         "deferred_calls",
         "forward_answer",
         "has_called",
+        "held_bytes",
         "incomplete_since_ms",
         "open_calls",
         "origin",
@@ -137,7 +164,12 @@
         self._pending_count = 0
         self._queued_count = 0
         self._resume_planned = False
+        # Bytes of a rejected call that have not arrived yet, and memory of unwritten answers.
+        self._skip_bytes = 0
+        self._unwritten_bytes = 0
+        self.held_bytes = 0
         self.connection = connection
+        connection.charge_to(self)
         self.open_calls = NO_OPEN_CALLS
         self.deferred_calls: DeferredCalls | None = None
         self.forward_answer: Callable[[int, bytes], None] | None = None
@@ -160,8 +192,10 @@
 
     @property
     def _is_queue_full(self) -> bool:
-        """Whether the queued calls, if each is answered at once, fill the limit of answers."""
-        return self._queued_count + len(self.connection.outbox) >= MAX_UNWRITTEN_ANSWERS
+        """Whether the queued calls fill the limit of answers, or much of the memory for peers."""
+        if self._queued_count + len(self.connection.outbox) >= MAX_UNWRITTEN_ANSWERS:
+            return True
+        return self.held_bytes > self._frontend.memory.limit_bytes * MAX_QUEUED_MEMORY_FRACTION
 
     def _process_input(self) -> None:
         """Process buffered input.
@@ -170,17 +204,25 @@
         """
         self.active_ms = self._frontend.now_ms()
         while self.connection.state is State.OPEN:
+            if self._skip_bytes:
+                self._skip_input()
             deferred = self.deferred_calls
             if self._queued_count and self._is_queue_full:
                 self._leave_input()
                 return
             if deferred and not self.write_blocked:
                 arrival, call = deferred.pop_first()
-                self._accept_call(call, arrival)
+                body_bytes = len(call.body) if isinstance(call, thrift.Execute) else 0
+                self.release(body_bytes + CALL_OVERHEAD_BYTES)
+                self._accept_call(call, arrival, body_bytes)
             elif deferred and deferred.is_full(self._frontend.max_frame_bytes):
                 self._leave_input()
                 self._end_open_calls()
                 return
+            elif self._frontend.memory.is_short and not self._has_room_for_frame():
+                self._leave_input()
+                self.connection.awaits_memory = True
+                return
             else:
                 frame = thrift.next_frame(self.connection.inbound, self._frontend.max_frame_bytes)
                 if frame is None:
@@ -198,13 +240,13 @@
             # The bounds of the frames are lost: nothing after this can be decoded.
             self._close_malformed(frame.reason)
             return
-        call = thrift.decode_call(frame)
+        call = thrift.decode_call(frame, CALL_FIELDS)
         if isinstance(call, thrift.Interrupt):
             self._interrupt(call.target)
         elif self.write_blocked:
             self._defer(call)
         else:
-            self._accept_call(call, self._arrival())
+            self._accept_call(call, self._arrival(), len(frame))
 
     def _leave_input(self) -> None:
         """Leave complete frames in the buffer, and remember since when they may be here."""
@@ -221,6 +263,8 @@
     def _defer(self, call: Call) -> None:
         if self.deferred_calls is None:
             self.deferred_calls = DeferredCalls()
+        body_bytes = len(call.body) if isinstance(call, thrift.Execute) else 0
+        self.charge(body_bytes + CALL_OVERHEAD_BYTES)
         self.deferred_calls.append(call, self._arrival())
 
     def _interrupt(self, seqid: int) -> None:
@@ -229,7 +273,8 @@
         if cancelled is not None:
             self._disconnect(cancelled)
         elif self.deferred_calls:
-            self.deferred_calls.withdraw(seqid)
+            released_count, released_bytes = self.deferred_calls.withdraw(seqid)
+            self.release(released_bytes + released_count * CALL_OVERHEAD_BYTES)
 
     def _end_open_calls(self) -> None:
         """End all open calls now, since a cancellation of them could no longer be read.
@@ -242,10 +287,7 @@
         pending = [call for call in open_calls if isinstance(call, PendingCall)]
         if requests or pending:
             log.warning("client_reads_no_answers ended_calls=%d", len(requests) + len(pending))
-        for call in pending:
-            call.is_withdrawn = True
-            self._pending_count -= 1
-            self._frontend.call_admission.reject(self, call.call)
+        self._reject_pending(pending)
         self._frontend.admission.end_all(requests)
 
     def _note_incomplete_call(self) -> None:
@@ -265,10 +307,10 @@
 
     # -- Calls
 
-    def _accept_call(self, call: Call, arrival: Arrival) -> None:
+    def _accept_call(self, call: Call, arrival: Arrival, frame_bytes: int) -> None:
         """Open a call, or answer it at once if it is no request."""
         if isinstance(call, thrift.Execute):
-            self._open_call(call, arrival)
+            self._open_call(call, arrival, frame_bytes)
         elif isinstance(call, thrift.Check):
             accepts_clients = self._frontend.accepts_clients()
             self.write_answer(thrift.encode_answer("check", call.seqid, b"", {}, accepts_clients))
@@ -277,7 +319,7 @@
         else:
             self.write_answer(encode_invalid(call.seqid, call.name, call.kind, call.reason))
 
-    def _open_call(self, call: thrift.Execute, arrival: Arrival) -> None:
+    def _open_call(self, call: thrift.Execute, arrival: Arrival, frame_bytes: int) -> None:
         """Queue a call, to be begun in the order of arrival."""
         seqid = call.seqid
         if seqid in self.open_calls:
@@ -287,6 +329,10 @@
         if self.open_calls is NO_OPEN_CALLS:
             self.open_calls = {}
         pending = PendingCall(self, call, arrival)
+        statement_bytes = len(call.body)
+        fields_bytes = (frame_bytes - statement_bytes) * MAX_BYTES_PER_TEXT_BYTE
+        pending.held_bytes = statement_bytes + fields_bytes + CALL_OVERHEAD_BYTES
+        self._frontend.memory.charge(self, pending.held_bytes)
         self.open_calls[seqid] = pending
         self._pending_count += 1
         self._queued_count += 1
@@ -297,7 +343,7 @@
         self._queued_count -= 1
         self._pending_count -= 1
         if self.deferred_calls or self.connection.buffered_since_s is not None:
-            self._resume_deferred()
+            self.resume_deferred()
         if len(self.open_calls) - self._pending_count <= MAX_OPEN_CALLS:
             self._frontend.call_admission.begin(self, pending)
             return
@@ -308,7 +354,7 @@
     def drop_call(self) -> None:
         """Account for a call that was withdrawn, now that the queue has come to it."""
         self._queued_count -= 1
-        self._resume_deferred()
+        self.resume_deferred()
 
     def close_after_fault(self) -> None:
         """Close the connection: beginning one of its calls has raised an exception."""
@@ -316,6 +362,7 @@
 
     def open_request(self, seqid: int, request: Request) -> None:
         """Replace the open call ``seqid`` by its request, which is about to be admitted."""
+        request.held_bytes = self.open_calls[seqid].held_bytes
         self.open_calls[seqid] = request
         request.arrival.retry_budget_eligible = self.retry_credit > 0
         self.retry_credit = max(self.retry_credit - 1, 0)
@@ -336,17 +383,34 @@
 
     def answer(self, seqid: int, data: bytes) -> None:
         """Write the answer of an open call; do nothing if the call is no longer open."""
-        if self.open_calls.pop(seqid, None) is None:
+        call = self.open_calls.pop(seqid, None)
+        if call is None:
             return
+        self._frontend.memory.release(self, call.held_bytes)
         self.active_ms = self._frontend.now_ms()
         if self.forward_answer is not None:
             self.forward_answer(seqid, data)
         else:
-            self.connection.send(AnswerMessage(data, self._resume_deferred))
+            self.write_answer(data)
 
     def write_answer(self, data: bytes) -> None:
-        """Write an answer to a call that never became an open call."""
-        self.connection.send(AnswerMessage(data, self._resume_deferred))
+        """Write an answer to a call that is no longer open, or never was."""
+        message = AnswerMessage(data, self)
+        self.connection.send(message)
+        if not message.is_written and self.connection.state is not State.CLOSED:
+            message.held_bytes = len(data) + ANSWER_OVERHEAD_BYTES
+            self._unwritten_bytes += message.held_bytes
+            self.charge(message.held_bytes)
+
+    def release_answer(self, held_bytes: int) -> None:
+        """Release the memory of an answer that was written."""
+        self._unwritten_bytes -= held_bytes
+        self.release(held_bytes)
+
+    def release_answers(self) -> None:
+        """Release the memory of the answers that a closed connection has not written."""
+        self.release(self._unwritten_bytes)
+        self._unwritten_bytes = 0
 
     def earn_retry_credit(self) -> None:
         """Count a call that was served for the retry credit."""
@@ -356,7 +420,7 @@
         """Process input that has arrived but was not reported by the loop yet."""
         self.connection.read_pending()
 
-    def _resume_deferred(self) -> None:
+    def resume_deferred(self) -> None:
         """Schedule the calls that wait for room: the loop reports no event once there is some."""
         if self._resume_planned or self._queued_count:
             return
@@ -369,6 +433,132 @@
         self._resume_planned = False
         self.connection.process_buffered()
 
+    # -- Memory
+
+    def try_charge(self, size_bytes: int) -> bool:
+        """Charge memory that is about to be allocated, if the limit allows it."""
+        return self._frontend.memory.try_charge(self, size_bytes)
+
+    def charge(self, size_bytes: int) -> None:
+        """Charge memory that is needed in any case."""
+        self._frontend.memory.charge(self, size_bytes)
+
+    def release(self, size_bytes: int) -> None:
+        """Release memory that was charged."""
+        self._frontend.memory.release(self, size_bytes)
+
+    def charge_call(self, seqid: int, size_bytes: int) -> None:
+        """Charge memory that an open call needs until it is answered."""
+        call = self.open_calls.get(seqid)
+        if call is not None:
+            call.held_bytes += size_bytes
+            self.charge(size_bytes)
+
+    def _has_room_for_frame(self) -> bool:
+        """Return whether the next frame, if it is complete, can be decoded within the limit."""
+        inbound = self.connection.inbound
+        if len(inbound) <= thrift.LENGTH_BYTES:
+            return True
+        frame_bytes = thrift.next_frame_bytes(inbound)
+        if frame_bytes > len(inbound):
+            return True
+        return self._frontend.memory.has_room(self, frame_bytes + CALL_OVERHEAD_BYTES)
+
+    def memory_available(self) -> None:
+        """Read on after a wait for memory."""
+        self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        self.connection.memory_available()
+        if self.connection.buffered_since_s is not None:
+            self.connection.process_buffered()
+
+    def shed_memory(self) -> bool:
+        """Release memory that others need: calls that were not begun, or answers nobody reads.
+
+        The connection stays open, unless its client has left answers unread.
+        """
+        if self._reject_queued_calls() or self._reject_unread_calls():
+            return True
+        if self._unwritten_bytes and self.connection.is_write_stalled():
+            log.warning("client_closed reason=unread_answers held_bytes=%d", self.held_bytes)
+            self.connection.close(CloseReason.UNREAD_ANSWERS)
+            return True
+        return self._reject_unsent_requests()
+
+    def _reject_queued_calls(self) -> bool:
+        """Reject the calls that were not begun; return whether there were any."""
+        pending = [call for call in self.open_calls.values() if isinstance(call, PendingCall)]
+        if pending:
+            log.warning("calls_rejected reason=memory count=%d", len(pending))
+        self._reject_pending(pending)
+        return bool(pending)
+
+    def _reject_unread_calls(self) -> bool:
+        """Reject the calls in the inbound buffer, and skip the rest of an incomplete one.
+
+        Return whether there were any. Calls that are no requests are processed.
+        """
+        inbound = self.connection.inbound
+        held_bytes = len(inbound)
+        while len(inbound) > thrift.MAX_HEAD_BYTES and not self.write_blocked:
+            seqid = thrift.next_request_seqid(inbound)
+            frame_bytes = thrift.next_frame_bytes(inbound)
+            if seqid is None and 0 <= frame_bytes <= len(inbound):
+                frame = thrift.next_frame(inbound, self._frontend.max_frame_bytes)
+                assert frame is not None  # it is complete
+                self._process_frame(frame)
+            elif not thrift.LENGTH_BYTES < frame_bytes <= self.connection.inbound.limit:
+                break
+            else:
+                self._reject_unread_call(seqid, frame_bytes)
+            if self.connection.state is not State.OPEN:
+                return True
+        if len(inbound) == held_bytes:
+            return False
+        self._resume_reading()
+        return True
+
+    def _reject_unread_call(self, seqid: int | None, frame_bytes: int) -> None:
+        """Reject a request that is not decoded, and skip what has not arrived of it."""
+        if seqid in self.open_calls:
+            self._close_malformed(f"sequence id {seqid} is open already")
+            return
+        log.warning("call_rejected reason=memory frame_bytes=%d", frame_bytes)
+        self._frontend.large_calls.discard(self)
+        self._skip_bytes = frame_bytes
+        self._skip_input()
+        if seqid is not None:
+            self._frontend.call_admission.reject_unread(self, seqid)
+
+    def _skip_input(self) -> None:
+        """Drop what has arrived of a rejected call."""
+        inbound = self.connection.inbound
+        skipped_bytes = min(self._skip_bytes, len(inbound))
+        inbound.discard(skipped_bytes)
+        self._skip_bytes -= skipped_bytes
+        if not self._skip_bytes:
+            self.has_called = True
+            self.incomplete_since_ms = None
+
+    def _reject_unsent_requests(self) -> bool:
+        """Reject the open requests that no engine was sent; return whether there were any."""
+        unsent = [
+            call
+            for call in self.open_calls.values()
+            if isinstance(call, Request) and not call.attempt_count
+        ]
+        if unsent:
+            log.warning("requests_rejected reason=memory count=%d", len(unsent))
+        self._frontend.admission.end_all(unsent)
+        return bool(unsent)
+
+    def _reject_pending(self, pending: list[PendingCall]) -> None:
+        for call in pending:
+            call.withdraw()
+            self._pending_count -= 1
+            self._frontend.call_admission.reject(self, call.call)
+
     # -- Time limits
 
     @property
@@ -393,6 +583,7 @@
             self.connection.state is State.OPEN
             and self.connection.is_flushed
             and not len(self.connection.inbound)
+            and not self._skip_bytes
             and not self.deferred_calls
             # The successor can't know when input that the kernel holds already has arrived.
             and not self.connection.has_unread_input()
@@ -441,13 +632,23 @@
 
     def _on_closed(self, _reason: str) -> None:
         self._frontend.remove_client(self)
-        self.deferred_calls = None
+        self._frontend.memory.stop_waiting(self)
+        self._release_deferred_calls()
+        if self.connection.state is State.CLOSED:
+            self.release_answers()
         disconnected = list(self.open_calls.values())
         self.open_calls = NO_OPEN_CALLS
         for call in disconnected:
             self._disconnect(call)
 
+    def _release_deferred_calls(self) -> None:
+        if self.deferred_calls is not None:
+            count = len(self.deferred_calls)
+            self.release(self.deferred_calls.statement_bytes + count * CALL_OVERHEAD_BYTES)
+            self.deferred_calls = None
+
     def _disconnect(self, call: OpenCall) -> None:
+        self.release(call.held_bytes)
         if isinstance(call, Request):
             self._frontend.admission.disconnect(call)
         elif isinstance(call, PendingCall):
--- a/umberusher/frontend/deferred_calls.py
+++ b/umberusher/frontend/deferred_calls.py
@@ -22,15 +22,26 @@
     call: Call
 
 
+class WithdrawnCalls(NamedTuple):
+    """How many calls were removed, and the size of their statements."""
+
+    call_count: int
+    statement_bytes: int
+
+
 class DeferredCalls:
-    """A bounded queue of calls, in the order in which they arrived."""
+    """A bounded queue of calls, in the order in which they arrived.
+
+    Attributes:
+        statement_bytes: The size of their statements together.
+    """
 
-    __slots__ = ("_calls", "_statement_bytes")
+    __slots__ = ("_calls", "statement_bytes")
 
     def __init__(self) -> None:
         """Create an empty queue."""
         self._calls: deque[DeferredCall] = deque()
-        self._statement_bytes = 0
+        self.statement_bytes = 0
 
     def __len__(self) -> int:
         """Return the number of calls."""
@@ -42,7 +53,7 @@
 
     def is_full(self, max_bytes: int) -> bool:
         """Return whether the limit of calls, or of their statements' size, is reached."""
-        return len(self._calls) >= MAX_DEFERRED_CALLS or self._statement_bytes >= max_bytes
+        return len(self._calls) >= MAX_DEFERRED_CALLS or self.statement_bytes >= max_bytes
 
     @property
     def first_arrival(self) -> Arrival:
@@ -52,19 +63,24 @@
     def append(self, call: Call, arrival: Arrival) -> None:
         """Add a call at the end."""
         self._calls.append(DeferredCall(arrival, call))
-        self._statement_bytes += _statement_bytes(call)
+        self.statement_bytes += _statement_bytes(call)
 
     def pop_first(self) -> DeferredCall:
         """Remove and return the first call."""
         first = self._calls.popleft()
-        self._statement_bytes -= _statement_bytes(first.call)
+        self.statement_bytes -= _statement_bytes(first.call)
         return first
 
-    def withdraw(self, seqid: int) -> None:
+    def withdraw(self, seqid: int) -> WithdrawnCalls:
         """Remove the calls with this sequence id; O(n) of a bounded n."""
         remaining = deque(each for each in self._calls if each.call.seqid != seqid)
+        remaining_bytes = sum(_statement_bytes(each.call) for each in remaining)
+        withdrawn = WithdrawnCalls(
+            len(self._calls) - len(remaining), self.statement_bytes - remaining_bytes
+        )
         self._calls = remaining
-        self._statement_bytes = sum(_statement_bytes(each.call) for each in remaining)
+        self.statement_bytes = remaining_bytes
+        return withdrawn
 
 
 def _statement_bytes(call: Call) -> int:
--- a/umberusher/frontend/handed_over_call.py
+++ b/umberusher/frontend/handed_over_call.py
@@ -6,9 +6,13 @@
 
 
 class HandedOverCall:
-    """An open call on a connection that was adopted from the predecessor."""
+    """An open call on a connection that was adopted from the predecessor.
 
-    __slots__ = ("_on_disconnect", "_seqid")
+    Attributes:
+        held_bytes: What it holds of this process's memory for peers.
+    """
+
+    __slots__ = ("_on_disconnect", "_seqid", "held_bytes")
 
     def __init__(self, seqid: int, on_disconnect: Callable[[int], None]) -> None:
         """Create the call.
@@ -18,6 +22,7 @@
             on_disconnect: Notifies the predecessor that the client no longer waits for the call.
         """
         self._seqid = seqid
+        self.held_bytes = 0
         self._on_disconnect = on_disconnect
 
     def disconnect(self) -> None:
--- a/umberusher/frontend/response_sink.py
+++ b/umberusher/frontend/response_sink.py
@@ -19,6 +19,9 @@
     def earn_retry_credit(self) -> None:
         """Count a call that was served for the client's retry credit."""
 
+    def charge_call(self, seqid: int, size_bytes: int) -> None:
+        """Charge memory that an open call needs until it is answered."""
+
     def read_pending(self) -> None:
         """Process input that has arrived but was not reported by the loop yet."""
 
@@ -46,6 +49,10 @@
         """Answer that the call failed, with the reason."""
         self.client.answer(self.seqid, thrift.encode_aborted(self.seqid, {"reason": why}))
 
+    def charge(self, size_bytes: int) -> None:
+        """Charge memory that the call needs to its client, until it is answered."""
+        self.client.charge_call(self.seqid, size_bytes)
+
     def read_pending(self) -> None:
         """Process pending input of the client: it may have cancelled the call or disconnected."""
         self.client.read_pending()
--- a/umberusher/frontend/thrift_frontend.py
+++ b/umberusher/frontend/thrift_frontend.py
@@ -17,6 +17,7 @@
 from umberusher.net.connection import Connection, State
 from umberusher.net.listener import Listener
 from umberusher.net.loop import Loop
+from umberusher.net.memory_account import MemoryAccount
 from umberusher.net.receive_timestamps import ReceiveTimestamps
 from umberusher.net.timed_connection import TimedConnection
 from umberusher.pipeline.admission import RequestAdmission
@@ -57,6 +58,7 @@
         call_queue: The calls that wait to be begun, in the order of arrival.
         call_admission: Begins them.
         key_arrivals: The latest arrivals of order keys.
+        memory: The account to which the clients' memory is charged.
         peer_client_count: Clients of other processes of this broker.
         max_clients: Limit of clients of all processes of this broker together.
     """
@@ -74,6 +76,7 @@
         key_arrivals: KeyArrivals,
         key_loans: KeyLoans,
         memory_mb: float,
+        memory: MemoryAccount,
         origin_of_port: Callable[[int], Origin] | None = None,
     ) -> None:
         """Create a front end that does not listen yet.
@@ -91,6 +94,7 @@
             key_arrivals: The latest arrivals of order keys.
             key_loans: The order keys that this process shares with another one.
             memory_mb: The memory limit, by which frames are bounded.
+            memory: The account to which the clients' memory is charged.
             origin_of_port: Returns the origin of connections to a port; None if origins are not
                 used.
         """
@@ -101,6 +105,7 @@
         self.accepts_clients = accepts_clients
         self.max_clients = max_clients
         self.origin_of_port = origin_of_port
+        self.memory = memory
         memory_bytes = memory_mb * BYTES_PER_MB
         self.max_frame_bytes = min(
             int(memory_bytes * MAX_FRAME_MEMORY_FRACTION), thrift.MAX_FRAME_BYTES
@@ -236,10 +241,11 @@
         transport = client.connection
         if transport.state is State.CLOSING:
             self.closing[transport] = None
-            transport.on_released = lambda: self._on_released(transport)
+            transport.on_released = lambda: self._on_released(client)
 
-    def _on_released(self, transport: Connection) -> None:
-        self.closing.pop(transport, None)
+    def _on_released(self, client: ClientConnection) -> None:
+        self.closing.pop(client.connection, None)
+        client.release_answers()
 
     def _evict(self) -> bool:
         """Free a descriptor; return False if no client can be evicted.
--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -22,8 +22,8 @@
 from enum import Enum
 from typing import Protocol
 
-from umberusher.net.loop import READ, READ_CLOSED, WRITE, Coroutine, Loop, Timer, Wait
-from umberusher.net.ring import RingBuffer
+from umberusher.net.loop import HUNG_UP, READ, READ_CLOSED, WRITE, Coroutine, Loop, Timer, Wait
+from umberusher.net.ring import RingBuffer, RingMemory
 
 log = logging.getLogger(__name__)
 
@@ -123,6 +123,7 @@
         write_blocked_since_s: The loop's time since which the kernel accepts no bytes; None while
             it accepts all.
         reading_paused: Whether the owner reads no input for now.
+        awaits_memory: Whether reading waits for the owner's memory.
         on_connected: The peer has accepted the connection; nothing is written before this returns.
         on_open: The connection is open; queued messages are written next.
         on_data: More bytes are in ``inbound``.
@@ -134,6 +135,7 @@
     __slots__ = (
         "_closing_timer",
         "_in_hook",
+        "awaits_memory",
         "fd",
         "inbound",
         "loop",
@@ -178,6 +180,7 @@
         self.outbox: deque[Message] | tuple[()] = EMPTY_OUTBOX
         self.writing: Message | None = None
         self.reading_paused = False
+        self.awaits_memory = False
         self.sent_bytes = 0
         self.write_blocked_since_s: float | None = None
         self._closing_timer: Timer | None = None
@@ -271,7 +274,7 @@
         for _ in range(MAX_PENDING_READS):
             if self.state is not OPEN or self._in_hook or self.reading_paused:
                 break
-            if not self.inbound.free_bytes or not self._read():
+            if self.awaits_memory or not self.inbound.free_bytes or not self._read():
                 break
         self._update_watch()
 
@@ -281,6 +284,17 @@
             self._call_hook(self.on_data)
             self._update_watch()
 
+    def charge_to(self, memory: RingMemory) -> None:
+        """Charge the buffers to the owner's memory; call it before ``serve`` is spawned."""
+        self.inbound.charge_to(memory)
+        self.outbound.charge_to(memory)
+
+    def memory_available(self) -> None:
+        """Read again after a wait for memory."""
+        if self.awaits_memory:
+            self.awaits_memory = False
+            self._update_watch()
+
     def release_buffers(self) -> None:
         """Release the memory of empty buffers: hundreds of connections may stay open and idle."""
         self.inbound.release()
@@ -320,6 +334,8 @@
         self.state = CLOSED
         self.loop.unregister(self.fd)
         self.sock.close()
+        self.inbound.drop()
+        self.outbound.drop()
         if not was_closing:
             self.on_closed(reason)
             return
@@ -343,18 +359,17 @@
 
     def serve(self) -> Coroutine:
         """Read and write until the connection closes."""
-        while self.state is CONNECTING:
-            yield Wait(self.fd, WRITE)
-            self._check_connected()
-            if self.state is OPEN:
-                self._call_hook(self.on_open)
-                self._flush()
+        yield from self._serve_connecting()
         while self.state is OPEN:
             events = yield Wait(self.fd, self._wanted_events())
             if self.state is OPEN and events & WRITE:
                 self._flush()
             if self.state is OPEN and events & ~WRITE:
-                self._read()
+                # The buffer may have been filled since the poll that has reported input.
+                if not self.awaits_memory and self.inbound.free_bytes > 0:
+                    self._read()
+                elif events & HUNG_UP:
+                    self.close("failed or closed by the peer while its input could not be read")
         while self.state is CLOSING:
             events = yield Wait(self.fd, self._wanted_events())
             if self.state is CLOSING and events & WRITE:
@@ -362,6 +377,14 @@
             if self.state is CLOSING and events & ~WRITE:
                 self._discard_input()
 
+    def _serve_connecting(self) -> Coroutine:
+        while self.state is CONNECTING:
+            yield Wait(self.fd, WRITE)
+            self._check_connected()
+            if self.state is OPEN:
+                self._call_hook(self.on_open)
+                self._flush()
+
     def _check_connected(self) -> None:
         """Check whether the connection is established, has failed, or is still pending.
 
@@ -387,6 +410,8 @@
             events = READ
         elif self.reading_paused:
             events = 0
+        elif self.awaits_memory:
+            events = READ_CLOSED
         elif self.inbound.free_bytes > 0:
             events = READ
         else:
@@ -402,10 +427,6 @@
 
     def _read(self) -> bool:
         """Read once and let the owner process it; return whether any bytes arrived."""
-        if self.inbound.free_bytes <= 0:
-            # The event is an error or the end of input: a full ring is not polled for input.
-            self.close("failed or closed by the peer while the input buffer was full")
-            return False
         try:
             count = self._receive()
         except (BlockingIOError, InterruptedError):
@@ -413,14 +434,20 @@
         except OSError as error:
             self.close(_describe("read", error.errno))
             return False
+        if count is None:
+            self.awaits_memory = True
+            return False
         if not count:
             self.close("ended by the other side")
             return False
         self._call_hook(self.on_data)
         return True
 
-    def _receive(self) -> int:
-        """Read from the socket once and return the count; 0 at the end of input."""
+    def _receive(self) -> int | None:
+        """Read from the socket once and return the count; 0 at the end of input.
+
+        Returns None if the owner's memory has no room for input.
+        """
         return self.inbound.receive_from(self.sock)
 
     def _discard_input(self) -> None:
@@ -501,10 +528,21 @@
 
 
 def connect(
-    loop: Loop, address: tuple[str, int], max_inbound_bytes: int, max_outbound_bytes: int
+    loop: Loop,
+    address: tuple[str, int],
+    max_inbound_bytes: int,
+    max_outbound_bytes: int,
+    memory: RingMemory | None = None,
 ) -> Connection:
     """Begin a connection; return it in state CONNECTING.
 
+    Args:
+        loop: The event loop.
+        address: Host and port of the peer.
+        max_inbound_bytes: Limit of the inbound ring.
+        max_outbound_bytes: Limit of the outbound ring, and so of one message.
+        memory: Where the buffers are charged; None if their limits are all that bounds them.
+
     Raises:
         ConnectError: The connection attempt failed immediately.
     """
@@ -519,7 +557,10 @@
     if failed not in (0, errno.EINPROGRESS):
         sock.close()
         raise ConnectError("connect", failed)
-    return Connection(loop, sock, CONNECTING, max_inbound_bytes, max_outbound_bytes)
+    connection = Connection(loop, sock, CONNECTING, max_inbound_bytes, max_outbound_bytes)
+    if memory is not None:
+        connection.charge_to(memory)
+    return connection
 
 
 def prepare_socket(sock: socket.socket) -> None:
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -23,6 +23,8 @@
 WRITE = select.EPOLLOUT
 # The peer has shut down its write side; unread input may precede that.
 READ_CLOSED = select.EPOLLRDHUP
+# The peer has closed or reset the connection, or it has failed.
+HUNG_UP = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 MAX_EVENTS_PER_STEP = 64
 # Inputs that a poll reports together may have arrived in another order if the poll before it is
--- a/umberusher/net/ring.py
+++ b/umberusher/net/ring.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from typing import Protocol
 
 # Capacity of a ring in use; an empty ring that has grown beyond it shrinks to it again.
 INITIAL_CAPACITY_BYTES = 4096
@@ -10,27 +11,48 @@
 IDLE_CAPACITY_BYTES = 64
 
 
+class RingMemory(Protocol):
+    """The memory of a ring's owner, to which the ring's capacity is charged."""
+
+    def try_charge(self, size_bytes: int) -> bool:
+        """Charge memory that is about to be allocated, if the limit allows it."""
+
+    def charge(self, size_bytes: int) -> None:
+        """Charge memory that is needed in any case."""
+
+    def release(self, size_bytes: int) -> None:
+        """Release memory that was charged."""
+
+
 class RingBuffer:
     """Bytes in order, at most ``limit`` of them.
 
     The capacity doubles as needed, so appending is O(1) amortised for each byte. Invariants: the
     content is the ``_size`` bytes from ``_head`` on, modulo the capacity; ``_size`` is at most the
-    capacity, and that at most ``limit``; an empty ring begins at 0.
+    capacity, and that at most ``limit``; an empty ring begins at 0. The capacity above
+    ``IDLE_CAPACITY_BYTES`` is charged to the owner's memory, if the ring has any.
 
     Attributes:
         limit: The maximum number of bytes that the ring holds.
     """
 
-    __slots__ = ("_data", "_head", "_initial_capacity", "_size", "limit")
+    __slots__ = ("_data", "_head", "_initial_capacity", "_memory", "_size", "limit")
 
-    def __init__(self, limit: int, initial_capacity: int = INITIAL_CAPACITY_BYTES) -> None:
+    def __init__(
+        self,
+        limit: int,
+        initial_capacity: int = INITIAL_CAPACITY_BYTES,
+        memory: RingMemory | None = None,
+    ) -> None:
         """Create an empty ring.
 
         Args:
             limit: The maximum number of bytes that it holds.
             initial_capacity: Its capacity once it is used.
+            memory: Where its capacity is charged; None if its limit is all that bounds it.
         """
         self.limit = limit
+        self._memory = memory
         self._initial_capacity = min(initial_capacity, limit)
         self._data = bytearray(min(IDLE_CAPACITY_BYTES, limit))
         self._head = 0
@@ -66,13 +88,50 @@
         capacity = len(self._data)
         if size <= capacity:
             return
+        grown_capacity = self._grown_capacity(size)
+        if self._memory is not None:
+            self._memory.charge(_charged_bytes(grown_capacity) - _charged_bytes(capacity))
+        self._grow(grown_capacity)
+
+    def _grown_capacity(self, size: int) -> int:
+        capacity = len(self._data)
         while capacity < size:
             capacity *= 2
-        grown = bytearray(min(capacity, self.limit))
+        return min(capacity, self.limit)
+
+    def _grow(self, capacity: int) -> None:
+        grown = bytearray(capacity)
         grown[: self._size] = self.peek(self._size)
         self._data = grown
         self._head = 0
 
+    def _replace_empty(self, capacity: int) -> None:
+        """Replace the memory of an empty ring by less."""
+        if self._memory is not None:
+            self._memory.release(_charged_bytes(len(self._data)) - _charged_bytes(capacity))
+        self._data = bytearray(capacity)
+        self._head = 0
+
+    def _try_grow(self) -> bool:
+        """Make room for at least one more byte; return False if the owner's memory has none.
+
+        The initial capacity is granted in any case, so that small messages are read whatever others
+        hold.
+        """
+        capacity = self._grown_capacity(max(self._size + 1, self._initial_capacity))
+        if self._memory is not None:
+            added_bytes = _charged_bytes(capacity) - _charged_bytes(len(self._data))
+            if capacity <= self._initial_capacity:
+                self._memory.charge(added_bytes)
+            elif not self._memory.try_charge(added_bytes):
+                return False
+        self._grow(capacity)
+        return True
+
+    def charge_to(self, memory: RingMemory) -> None:
+        """Charge the capacity to its owner's memory from now on; the ring must be unused."""
+        self._memory = memory
+
     def _spans(self, start: int, size: int) -> list[tuple[int, int]]:
         """Return the spans of ``size`` bytes from ``start`` on: one, or two if the bytes wrap."""
         capacity = len(self._data)
@@ -114,13 +173,13 @@
             self.write(data[count:])
         return count
 
-    def writable_span(self) -> memoryview:
+    def writable_span(self) -> memoryview | None:
         """Return free capacity to receive into, at least one byte; ``commit`` what was received.
 
-        There must be free bytes.
+        There must be free bytes. Returns None if the owner's memory has no room for more capacity.
         """
-        if self._size == len(self._data):
-            self._reserve(max(self._size + 1, self._initial_capacity))
+        if self._size == len(self._data) and not self._try_grow():
+            return None
         # An empty ring begins at 0: all of it is one span.
         low, high = 0, len(self._data)
         if self._size:
@@ -131,12 +190,15 @@
         """Append the ``count`` bytes that were received into the writable span."""
         self._size += count
 
-    def receive_from(self, sock: socket.socket) -> int:
+    def receive_from(self, sock: socket.socket) -> int | None:
         """Read from a socket once and return the count; 0 at the end of input.
 
-        There must be free bytes.
+        There must be free bytes. Returns None if the owner's memory has no room for input.
         """
-        count = sock.recv_into(self.writable_span())
+        span = self.writable_span()
+        if span is None:
+            return None
+        count = sock.recv_into(span)
         self._size += count
         return count
 
@@ -163,13 +225,18 @@
         if not self._size:
             self._head = 0
             if len(self._data) > self._initial_capacity:
-                self._data = bytearray(self._initial_capacity)
+                self._replace_empty(self._initial_capacity)
 
     def release(self) -> None:
         """Release the memory of an empty ring."""
         if not self._size and len(self._data) > IDLE_CAPACITY_BYTES:
-            self._data = bytearray(min(IDLE_CAPACITY_BYTES, self.limit))
-            self._head = 0
+            self._replace_empty(min(IDLE_CAPACITY_BYTES, self.limit))
+
+    def drop(self) -> None:
+        """Drop the content and release its memory: the connection has closed."""
+        self._size = 0
+        self._head = 0
+        self.release()
 
     def take(self, size: int) -> bytes:
         """Return the first ``size`` bytes, and drop them."""
@@ -184,3 +251,8 @@
             position = self._data.find(pattern, self._head, self._head + size)
             return position - self._head if position >= 0 else -1
         return self.peek(size).find(pattern)
+
+
+def _charged_bytes(capacity: int) -> int:
+    """Return how much of a capacity is charged: that of an idle ring is part of its connection."""
+    return capacity if capacity > IDLE_CAPACITY_BYTES else 0
--- a/umberusher/net/timed_connection.py
+++ b/umberusher/net/timed_connection.py
@@ -85,11 +85,11 @@
             holds_more = self._unread_at_poll == self.loop.poll_count
             if not holds_more or self.state is not State.OPEN:
                 break
-            if not self.inbound.free_bytes or not super()._read():
+            if self.awaits_memory or not self.inbound.free_bytes or not super()._read():
                 break
         return True
 
-    def _receive(self) -> int:
+    def _receive(self) -> int | None:
         loop = self.loop
         after_s = loop.previous_poll_s
         # A later poll would have reported input that the kernel held then.
@@ -99,6 +99,8 @@
             after_s = min(after_s, self.buffered_since_s)
         arrived_by_s = None
         span = self.inbound.writable_span()
+        if span is None:
+            return None
         if self._timestamps is not None and loop.inputs_may_be_unordered:
             count, arrived_by_s = self._timestamps.receive(self.sock, span, after_s)
         else:
--- a/umberusher/pipeline/request.py
+++ b/umberusher/pipeline/request.py
@@ -58,6 +58,9 @@
     def send_failure(self, reason: str) -> None:
         """Fail the request: it may have run."""
 
+    def charge(self, size_bytes: int) -> None:
+        """Charge memory that the request needs to its client, until it is answered."""
+
     def read_pending(self) -> None:
         """Process pending input of the client, which may have disconnected or cancelled."""
 
@@ -101,6 +104,7 @@
         engine_thread_ms: Time at engines, multiplied by the threads of its class.
         time_by_phase: Time of attempts that ended without a result, by phase; None before the
             first.
+        held_bytes: What is charged to its client for it.
     """
 
     request_id: str = field(init=False)
@@ -120,6 +124,7 @@
     may_have_run: bool = False
     engine_thread_ms: float = 0.0
     time_by_phase: dict[str, float] | None = None
+    held_bytes: int = 0
 
     def __post_init__(self) -> None:
         """Copy the id from the event."""
--- a/umberusher/pipeline/request_registry.py
+++ b/umberusher/pipeline/request_registry.py
@@ -127,6 +127,9 @@
         if not request.is_open:
             return False
         request.is_open = False
+        attempt = request.attempt
+        if attempt is None or attempt.progress >= SendProgress.PARTLY_WRITTEN:
+            request.statement = b""
         if outcome is not None:
             self.final_answers[outcome][request.arrival.query_class] += 1
         self._deadlines.request_closed(request, outcome)
@@ -191,6 +194,8 @@
             attempt.carrier.release(attempt)
         if request.attempt is attempt:
             request.attempt = None
+        if not request.is_open:
+            request.statement = b""
         if self._observer is not None:
             self._settle(self._observer, attempt, outcome)
         attempt.pages = {}
--- a/umberusher/protocol/engine.py
+++ b/umberusher/protocol/engine.py
@@ -53,6 +53,8 @@
     "qps": None,
     "eps": None,
 }
+# The fields with an engine's load report and with a query's cost.
+_REPORT_FIELD_NAMES = ("rep", "ticks", "footprint")
 _PROGRESS_KINDS = {
     "done": ProgressKind.PROGRESS,
     "spills": ProgressKind.SPILL,
@@ -260,6 +262,14 @@
     return reply.fields.get("count") != "1"
 
 
+def report_fields(fields: dict[str, str]) -> dict[str, str]:
+    """Return the fields that a load report and a cost are read from.
+
+    Names that an engine invents must not add up over the pages of a result.
+    """
+    return {name: fields[name] for name in _REPORT_FIELD_NAMES if name in fields}
+
+
 def report(fields: dict[str, str]) -> LoadReport | None:
     """Return a reply's load report; None if it has no report with a readable field."""
     text = fields.get("rep")
--- a/umberusher/protocol/thrift.py
+++ b/umberusher/protocol/thrift.py
@@ -22,6 +22,8 @@
 MAX_SKIPPED_VALUES = 4_096
 # Maximum number of entries of a call's map of fields, of which calls have about a dozen.
 MAX_MAP_ENTRIES = 1_024
+# First bytes of a frame that contain the head of any request.
+MAX_HEAD_BYTES = 32
 # Maximum number of characters of an unknown method's name that are quoted in a log line.
 MAX_QUOTED_CHARACTERS = 40
 
@@ -60,9 +62,9 @@
 _I16 = struct.Struct(">h")
 _I32 = struct.Struct(">i")
 _U32 = struct.Struct(">I")
-_LENGTH_BYTES = 4
+LENGTH_BYTES = 4
 # Minimum size of an entry of a map of strings: two lengths.
-_MIN_PAIR_BYTES = 2 * _LENGTH_BYTES
+_MIN_PAIR_BYTES = 2 * LENGTH_BYTES
 
 
 @dataclass(slots=True)
@@ -112,10 +114,11 @@
 class _Reader:
     """Reads the values of one message in order."""
 
-    def __init__(self, data: bytes) -> None:
+    def __init__(self, data: bytes, kept_fields: frozenset[str] | None = None) -> None:
         self.data = data
         self.position = 0
         self.skipped_values = 0
+        self._kept_fields = kept_fields
 
     def read_bytes(self, size: int) -> bytes:
         if size < 0 or self.position + size > len(self.data):
@@ -148,7 +151,7 @@
         return count
 
     def string_map(self) -> dict[str, str]:
-        """Return a map of text to text.
+        """Return a map of text to text, with the kept names only.
 
         Each call has a dozen entries, so they are read without a method call for each length.
         """
@@ -162,18 +165,26 @@
         data = self.data
         position = self.position
         end = len(data)
-        texts = []
+        kept_fields = self._kept_fields
+        fields = {}
+        name: str | None = None
         for _ in range(2 * count):
-            start = position + _LENGTH_BYTES
+            start = position + LENGTH_BYTES
             if start > end:
                 raise _MalformedError("cut short")
             size = _I32.unpack_from(data, position)[0]
             position = start + size
             if size < 0 or position > end:
                 raise _MalformedError("cut short")
-            texts.append(data[start:position].decode("utf-8"))
+            text = data[start:position].decode("utf-8")
+            if name is None:
+                name = text
+                continue
+            if kept_fields is None or name in kept_fields:
+                fields[name] = text
+            name = None
         self.position = position
-        return dict(zip(texts[::2], texts[1::2], strict=True))
+        return fields
 
     def skip(self, kind: int, depth: int = MAX_NESTING) -> None:
         """Skip a value of an unknown field."""
@@ -234,20 +245,54 @@
         The frame without its length; None while more bytes are needed; Malformed if the length is
         invalid, after which no further frame can be read.
     """
-    if len(ring) < _LENGTH_BYTES:
+    buffered_bytes = len(ring)
+    if buffered_bytes < LENGTH_BYTES:
         return None
-    size = _I32.unpack(ring.peek(_LENGTH_BYTES))[0]
+    size = _I32.unpack(ring.peek(LENGTH_BYTES))[0]
     if not 0 < size <= max_bytes:
         return Malformed(f"frame of {size} bytes")
-    if len(ring) < _LENGTH_BYTES + size:
+    if buffered_bytes < LENGTH_BYTES + size:
         return None
-    ring.discard(_LENGTH_BYTES)
-    return ring.take(size)
+    frame = ring.peek(size, LENGTH_BYTES)
+    ring.discard(LENGTH_BYTES + size)
+    return frame
 
 
-def decode_call(frame: bytes) -> Execute | Interrupt | Check | Malformed:
-    """Return the call that a frame contains."""
-    reader = _Reader(frame)
+def next_request_seqid(ring: RingBuffer) -> int | None:
+    """Return the sequence id of the request that begins in the ring, which may be incomplete.
+
+    The ring must hold more than ``MAX_HEAD_BYTES``. Returns None if the call is no request or can't
+    be read.
+    """
+    reader = _Reader(ring.peek(MAX_HEAD_BYTES - LENGTH_BYTES, LENGTH_BYTES))
+    try:
+        if reader.number(_U32) & _VERSION_MASK != VERSION or reader.text() != "execute":
+            return None
+        return reader.number(_I32)
+    except (_MalformedError, struct.error, UnicodeDecodeError):
+        return None
+
+
+def next_frame_bytes(ring: RingBuffer) -> int:
+    """Return the declared size of the frame that begins in the ring, with its length field.
+
+    The ring must hold at least the length field.
+    """
+    size: int = _I32.unpack(ring.peek(LENGTH_BYTES))[0]
+    return LENGTH_BYTES + size
+
+
+def decode_call(
+    frame: bytes, kept_fields: frozenset[str] | None = None
+) -> Execute | Interrupt | Check | Malformed:
+    """Return the call that a frame contains.
+
+    Args:
+        frame: The frame, without its length.
+        kept_fields: The names of the fields that are kept; others are checked and dropped, so that
+            names that clients invent take no memory. None keeps all.
+    """
+    reader = _Reader(frame, kept_fields)
     seqid = None
     name = ""
     try:
--- a/umberusher/upstream/connection_pool.py
+++ b/umberusher/upstream/connection_pool.py
@@ -125,7 +125,11 @@
             raise ConnectionLimitError
         try:
             transport = net_connection.connect(
-                self._context.loop, endpoint.address, INBOUND_BUFFER_BYTES, OUTBOUND_BUFFER_BYTES
+                self._context.loop,
+                endpoint.address,
+                INBOUND_BUFFER_BYTES,
+                OUTBOUND_BUFFER_BYTES,
+                self._context.memory,
             )
         except net_connection.ConnectError as error:
             raise EngineUnreachableError(error.reason) from error
--- a/umberusher/upstream/context.py
+++ b/umberusher/upstream/context.py
@@ -8,6 +8,7 @@
 
 from umberusher.endpoints.registry import EndpointRegistry
 from umberusher.net.loop import Loop
+from umberusher.net.ring import RingMemory
 from umberusher.pipeline.request_registry import RequestRegistry
 
 
@@ -45,12 +46,14 @@
         endpoints: The engines, and whether they accept new requests.
         registry: The open requests; attempts are ended there.
         network_delays: Estimated from all round trips that included no query work.
+        memory: Where the buffers of the connections are charged; None without an account.
         tags: Numbers that make the names of pings and health checks unique.
     """
 
     __slots__ = (
         "endpoints",
         "loop",
+        "memory",
         "network_delays",
         "now_ms",
         "registry",
@@ -65,11 +68,13 @@
         now_ms: Callable[[], float],
         endpoints: EndpointRegistry,
         registry: RequestRegistry,
+        memory: RingMemory | None = None,
     ) -> None:
         self.settings = settings
         self.loop = loop
         self.now_ms = now_ms
         self.endpoints = endpoints
         self.registry = registry
+        self.memory = memory
         self.network_delays = registry.network_delays
         self.tags = itertools.count(1)
--- a/umberusher/upstream/result_collector.py
+++ b/umberusher/upstream/result_collector.py
@@ -22,6 +22,8 @@
 # A page of complete rows is seldom much smaller than 6,000 bytes, so the largest result has far
 # fewer pages.
 MAX_PAGES = 64
+# Memory of a page beside its rows.
+PAGE_OVERHEAD_BYTES = 128
 
 
 class ResultCollector:
@@ -141,8 +143,13 @@
         if not codec.has_complete_rows(reply.body) or not (is_first or reply.body):
             self._close_malformed(channel, attempt, f"page {number} has incomplete rows")
             return
+        if attempt.page_count > 1:
+            attempt.request.response_sink.charge(len(reply.body) + PAGE_OVERHEAD_BYTES)
         attempt.pages[number] = reply.body
-        attempt.response_fields |= reply.fields
+        if is_first:
+            attempt.response_fields = reply.fields
+        else:
+            attempt.response_fields |= codec.report_fields(reply.fields)
         attempt.last_page_ms = self._registry.now_ms()
         if is_first:
             attempt.first_page_ms = attempt.last_page_ms
--- a/umberusher/upstream/upstream.py
+++ b/umberusher/upstream/upstream.py
@@ -11,6 +11,7 @@
 from umberusher.endpoints.directory import Endpoint
 from umberusher.endpoints.registry import EndpointRegistry
 from umberusher.net.loop import Loop
+from umberusher.net.ring import RingMemory
 from umberusher.pipeline.request_registry import RequestRegistry
 from umberusher.upstream.attempts import AttemptManager
 from umberusher.upstream.cancellation import CancellationOutcomes
@@ -43,11 +44,12 @@
         now_ms: Callable[[], float],
         post: Callable[[Event], None],
         settings: UpstreamSettings,
+        memory: RingMemory | None = None,
     ) -> None:
         if settings.receipts and not settings.health_checks:
             log.warning("receipts_disabled reason=%r", "settings allow no health checks")
             settings = dataclasses.replace(settings, receipts=False)
-        self.context = UpstreamContext(settings, loop, now_ms, endpoints, registry)
+        self.context = UpstreamContext(settings, loop, now_ms, endpoints, registry, memory)
         results = ResultCollector(registry, post)
         outcomes = CancellationOutcomes(registry, results)
         self._remaining_time = RemainingTime(self.context)
