Wait in the timestamp tests until the kernel stamps segments

The kernel switches stamping on asynchronously when the first socket asks for it: in a probe the first segment had no timestamp in 3 of 4 runs, and in none of 3 when 50 ms had passed. The test sent its segment at once. The fixture now waits until a probe is stamped; the assertions and their bounds are as they were.

--- a/tests/net/test_timed_connection.py
+++ b/tests/net/test_timed_connection.py
@@ -62,11 +62,32 @@
         self.loop.close()
 
 
+def await_stamping(timestamps: ReceiveTimestamps) -> None:
+    """Wait until the kernel stamps segments, which begins a while after the first socket asks for it.
+
+    A segment that arrives before then has no timestamp.
+    """
+    deadline_s = time.monotonic() + 3.0
+    with (
+        socket.create_server(("127.0.0.1", 0)) as server,
+        socket.create_connection(server.getsockname()) as peer,
+        server.accept()[0] as sock,
+    ):
+        timestamps.enable(sock)
+        span = memoryview(bytearray(1))
+        while time.monotonic() < deadline_s:
+            peer.send(b"a")
+            if timestamps.receive(sock, span, 0.0).arrived_by_s is not None:
+                return
+    raise AssertionError("the kernel stamps no segments")
+
+
 @pytest.fixture
 def ends():
     made = Ends()
     if not made.timestamps.enable(made.server):
         pytest.skip("sockets have no receive timestamps here")
+    await_stamping(made.timestamps)
     yield made
     made.close()
 
