Give clients turns of the loop by what they have used

Small and unsound calls at full speed did the same in proportion, and ever new keys held memory for as long as any call waited.

Cause: calls were begun strictly in the order of arrival, each statement read in one go, some 45 ms for 32,768 names; one client's frames were processed for as long as there were any; no deadline of a waiting call was looked at. Evidence: a profile under floods of five kinds; with heads of 1,000 fields two thirds of the time went into fields, with long statements into their scan.

Change: the queue begins the calls of clients with less usage first, and in the order of arrival among equals. Statements are read in turns of 512 steps, connections process 32 small frames a turn, waiting calls are rejected at their time, and calls are begun for as long as reading took. Keys keep their order: a call that was overtaken by a later one of its key is rejected.

It works because a sound call waits for one turn of each other client, whatever these have sent. The fake client of test_call_queue.py got the method that the queue now calls.

--- a/tests/broker/broker_process.py
+++ b/tests/broker/broker_process.py
@@ -57,6 +57,35 @@
         self.server.close()
 
 
+class SilentDiscovery:
+    """A discovery service that answers each poll after its linger time: nothing has changed."""
+
+    ANSWER = b'{"rev":1,"notices":[]}'
+
+    def __init__(self) -> None:
+        self.server = socket.create_server(("127.0.0.1", 0))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self.server.accept()
+                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError), sock, sock.makefile("rb") as source:
+            while line := source.readline():
+                if line.startswith(b"GET"):
+                    linger_ms = int(line.split(b"linger=")[1].split()[0])
+                elif line == b"\r\n":
+                    time.sleep(linger_ms / 1000)
+                    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.ANSWER)
+                    sock.sendall(head + self.ANSWER)
+
+    def close(self) -> None:
+        self.server.close()
+
+
 class BrokerProcess:
     """One broker process, whose private memory is sampled all the time.
 
@@ -68,7 +97,8 @@
         self.memory_mb = memory_mb
         self.engine = AnsweringEngine()
         self.address = free_address()
-        board = free_address()
+        self.discovery = SilentDiscovery()
+        board = self.discovery.server.getsockname()
         host, port = self.engine.server.getsockname()
         conf = copy.deepcopy(CONF) | {
             "listen": f"{self.address[0]}:{self.address[1]}",
@@ -95,7 +125,7 @@
         self.process = subprocess.Popen(
             [sys.executable, "-m", "umberusher", "serve"],
             env=env | {"LB_CONFIG": str(path), "TMPDIR": str(folder)},
-            stderr=subprocess.DEVNULL,
+            stderr=(folder / "broker.log").open("w"),
         )
         self.peak_mb = 0.0
         self._stopped = threading.Event()
@@ -115,7 +145,7 @@
                 self.peak_mb = max(self.peak_mb, self.private_mb())
 
     def _await_ready(self) -> None:
-        """Wait until the process serves: without discovery it waits 3 s for its first answer."""
+        """Wait until the process serves."""
         give_up_s = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < give_up_s:
             with contextlib.suppress(OSError), SoundClient(self) as client:
@@ -133,6 +163,7 @@
         self.process.send_signal(signal.SIGKILL)
         self.process.wait()
         self.engine.close()
+        self.discovery.close()
 
 
 class SoundClient:
--- a/tests/frontend/test_call_queue.py
+++ b/tests/frontend/test_call_queue.py
@@ -20,6 +20,9 @@
         self.now += self.cost_s
         self.begun.append(pending.call.seqid)
 
+    def usage_level(self) -> int:
+        return 0
+
     def drop_call(self) -> None:
         self.dropped_count += 1
 
--- a/umberusher/frontend/call_admission.py
+++ b/umberusher/frontend/call_admission.py
@@ -9,7 +9,6 @@
 from umberusher.frontend.call_decoder import (
     InvalidCallError,
     RequestSchema,
-    decode_fields,
     decode_request,
 )
 from umberusher.frontend.call_queue import PendingCall
@@ -23,12 +22,16 @@
 from umberusher.pipeline.admission import RequestAdmission
 from umberusher.pipeline.request import Request
 from umberusher.protocol import thrift
+from umberusher.protocol.statement import StatementError, TableGroupScan
 
 if TYPE_CHECKING:  # Contracts are loaded into memory only if they are used.
     from umberusher.teams.identity import Origin
 
 log = logging.getLogger(__name__)
 
+# A long statement is read in turns of this many steps, some half a millisecond each.
+MAX_STEPS_PER_TURN = 512
+
 
 class AdmittedClient(AnsweringClient, Protocol):
     """The connection on which a call has arrived.
@@ -45,6 +48,9 @@
     def write_answer(self, data: bytes) -> None:
         """Write an answer to a call that is not open."""
 
+    def count_usage(self, units: int) -> None:
+        """Count time of the loop that a long statement took."""
+
     def await_claim(self) -> None:
         """Count a call that waits for another process as one that is not begun."""
 
@@ -78,17 +84,54 @@
         self._key_loans = key_loans
 
     def begin(self, client: AdmittedClient, pending: PendingCall) -> None:
-        """Admit the request of a call, or give the call its final answer."""
+        """Admit the request of a call, or give the call its final answer.
+
+        A long statement is read in several turns: the call keeps its ``scan`` until the last one.
+        """
         call = pending.call
-        sink = ThriftResponseSink(client, call.seqid)
         try:
-            arrived_ms = pending.arrival.counted_from_ms
-            request = decode_request(call, sink, arrived_ms, self._schema)
+            request = self._read(client, pending)
         except InvalidCallError as error:
             self._count_final_answer(FinalOutcome.FAILED, call)
+            client.count_unserved_call()
             kind = thrift.PROTOCOL_ERROR
             client.answer(call.seqid, encode_invalid(call.seqid, "execute", kind, error.reason))
+            pending.scan = None
             return
+        if request is not None:
+            pending.scan = None
+            self._admit(client, pending, request)
+
+    def _read(self, client: AdmittedClient, pending: PendingCall) -> Request | None:
+        """Return the request of a call with its group of tables; None if that takes longer.
+
+        Raises:
+            InvalidCallError: A field or the statement can't be used.
+        """
+        call = pending.call
+        request = pending.request
+        if request is None:
+            sink = ThriftResponseSink(client, call.seqid)
+            arrived_ms = pending.arrival.counted_from_ms
+            request = decode_request(call, sink, arrived_ms, self._schema)
+        try:
+            scan = pending.scan or TableGroupScan(call.body)
+            is_finished = scan.advance(MAX_STEPS_PER_TURN)
+        except StatementError as error:
+            raise InvalidCallError(f"statement: {error.reason}") from error
+        if is_finished:
+            request.arrival.group = scan.group
+            return request
+        if pending.scan is None:
+            client.charge_call(call.seqid, scan.text_bytes)
+        pending.request = request
+        pending.scan = scan
+        client.count_usage(MAX_STEPS_PER_TURN)
+        return None
+
+    def _admit(self, client: AdmittedClient, pending: PendingCall, request: Request) -> None:
+        """Admit a request, one of an order key if its place is known."""
+        call = pending.call
         if client.origin is not None:
             request.claimed_team = call.fields.get("team")
             request.origin = client.origin
@@ -141,6 +184,7 @@
     def reject(self, client: AdmittedClient, call: thrift.Execute) -> None:
         """Reject an open call that has not become a request; its client may retry."""
         self._count_final_answer(FinalOutcome.REJECTED, call)
+        client.count_unserved_call()
         rejection = encode_rejection(call.seqid, self._admission.retry_after_ms)
         client.answer(call.seqid, rejection)
 
@@ -150,13 +194,16 @@
 
     def withdraw(self, client: AdmittedClient, pending: PendingCall) -> None:
         """Count a call that was not begun as a request whose client has disconnected."""
+        request = pending.request
         pending.withdraw()
-        sink = ThriftResponseSink(client, pending.call.seqid)
-        arrived_ms = pending.arrival.counted_from_ms
-        try:
-            request = decode_fields(pending.call, sink, arrived_ms, self._schema)
-        except InvalidCallError:
-            return
+        client.count_unserved_call()
+        if request is None:
+            sink = ThriftResponseSink(client, pending.call.seqid)
+            arrived_ms = pending.arrival.counted_from_ms
+            try:
+                request = decode_request(pending.call, sink, arrived_ms, self._schema)
+            except InvalidCallError:
+                return
         self._admission.registry.close(request)
 
     def _count_final_answer(self, outcome: FinalOutcome, call: thrift.Execute) -> None:
--- a/umberusher/frontend/call_decoder.py
+++ b/umberusher/frontend/call_decoder.py
@@ -13,7 +13,6 @@
 from umberusher.decisions.events import RequestArrived
 from umberusher.decisions.settings import Idempotency, QueryClass, Settings
 from umberusher.pipeline.request import Request, ResponseSink
-from umberusher.protocol.statement import StatementError, table_group
 
 if TYPE_CHECKING:
     from umberusher.protocol.thrift import Execute
@@ -27,6 +26,8 @@
 # Assumed memory of an engine where the settings give none.
 DEFAULT_ENGINE_MEMORY_MB = 1e6
 MAX_ORDER_KEY_CHARACTERS = 256
+# A call that is not checked yet waits no longer than this, whatever its budget says.
+MAX_WAIT_MS = 60_000.0
 
 # The fields that a call may have.
 CALL_FIELDS = frozenset(
@@ -85,35 +86,28 @@
     )
 
 
-def decode_request(
-    call: Execute, sink: ResponseSink, arrived_ms: float, schema: RequestSchema
-) -> Request:
-    """Return the request of a call, with the group of tables that its statement names.
+def waits_until_ms(fields: dict[str, str], arrived_ms: float) -> float:
+    """Return until when the client of a call waits, as far as its fields can be read.
 
     Args:
-        call: The call.
-        sink: Receives the final answer.
-        arrived_ms: When the call arrived: its time budget counts from then.
-        schema: The classes and value ranges that the settings allow.
-
-    Raises:
-        InvalidCallError: A field is missing, malformed or out of range, or the statement can't be
-            read.
+        fields: The call's fields, which were not checked.
+        arrived_ms: When the call arrived.
     """
-    request = decode_fields(call, sink, arrived_ms, schema)
-    try:
-        request.arrival.group = table_group(call.body)
-    except StatementError as error:
-        raise InvalidCallError(f"statement: {error.reason}") from error
-    return request
+    text = fields.get("budget", "")
+    budget_ms = float(text) if _NUMBER.fullmatch(text) else 0.0
+    return arrived_ms + min(budget_ms, MAX_WAIT_MS)
 
 
-def decode_fields(
+def decode_request(
     call: Execute, sink: ResponseSink, arrived_ms: float, schema: RequestSchema
 ) -> Request:
     """Return the request of a call whose statement is not read.
 
-    The arguments are those of ``decode_request``.
+    Args:
+        call: The call.
+        sink: Receives the final answer.
+        arrived_ms: When the call arrived: its time budget counts from then.
+        schema: The classes and value ranges that the settings allow.
 
     Raises:
         InvalidCallError: A field is missing, malformed or out of range.
--- a/umberusher/frontend/client_connection.py
+++ b/umberusher/frontend/client_connection.py
@@ -14,6 +14,11 @@
 from umberusher.frontend.call_admission import CallAdmission
 from umberusher.frontend.call_decoder import CALL_FIELDS
 from umberusher.frontend.call_queue import Arrival, CallQueue, PendingCall
+from umberusher.frontend.client_usage import (
+    OTHER_FRAME_UNITS,
+    UNSERVED_CALL_UNITS,
+    ClientUsage,
+)
 from umberusher.frontend.deferred_calls import Call, DeferredCalls
 from umberusher.frontend.handed_over_call import HandedOverCall
 from umberusher.frontend.response_sink import encode_invalid
@@ -43,6 +48,8 @@
 
 # Memory of an open call beside its statement: its fields, the request and the decisions' record.
 CALL_OVERHEAD_BYTES = 4_096
+# A frame of this many bytes counts as two units of a turn; a smaller one as one.
+BYTES_PER_TURN_UNIT = 256
 # A field's text takes up to this many bytes for each byte on the wire.
 MAX_BYTES_PER_TEXT_BYTE = 4
 # Memory of an answer that waits to be written, beside its bytes.
@@ -129,6 +136,7 @@
         retry_credit: How many further calls count for the retry budget before they are served.
             Protects the budget from clients that send hundreds of calls that no engine serves.
         origin: The origin of the connection, by its port; None if origins are not used.
+        usage: How much of the loop's time it has used without a result; None until it has.
     """
 
     __slots__ = (
@@ -148,6 +156,7 @@
         "open_calls",
         "origin",
         "retry_credit",
+        "usage",
     )
 
     def __init__(self, frontend: ClientOwner, connection: TimedConnection) -> None:
@@ -171,6 +180,7 @@
         self.has_called = False
         self.incomplete_since_ms: float | None = self.active_ms
         self.retry_credit = 0
+        self.usage: ClientUsage | None = None
         self.origin: Origin | None = None
         if frontend.origin_of_port is not None:
             self.origin = frontend.origin_of_port(connection.sock.getsockname()[1])
@@ -217,10 +227,15 @@
                 self._leave_input()
                 self.connection.awaits_memory = True
                 return
+            elif self.connection.turn_units <= 0 and self._has_frame():
+                self._leave_input()
+                self._plan_resume()
+                return
             else:
                 frame = thrift.next_frame(self.connection.inbound, self._frontend.max_frame_bytes)
                 if frame is None:
                     self.connection.buffered_since_s = None
+                    self.connection.awaits_turn = False
                     self._note_incomplete_call()
                     return
                 self._process_frame(frame)
@@ -233,7 +248,10 @@
             # The bounds of the frames are lost: nothing after this can be decoded.
             self._close_malformed(frame.reason)
             return
+        self.connection.turn_units -= 1 + len(frame) // BYTES_PER_TURN_UNIT
         call = thrift.decode_call(frame, CALL_FIELDS)
+        if not isinstance(call, thrift.Execute):
+            self.count_usage(OTHER_FRAME_UNITS)
         if isinstance(call, thrift.Interrupt):
             self._interrupt(call.target)
         elif self.write_blocked:
@@ -243,6 +261,7 @@
 
     def _leave_input(self) -> None:
         """Leave complete frames in the buffer, and remember since when they may be here."""
+        self.connection.awaits_turn = True
         self.connection.buffered_since_s = self.connection.received_after_s
 
     def _arrival(self) -> Arrival:
@@ -285,7 +304,7 @@
 
     def _note_incomplete_call(self) -> None:
         """Record since when a call is incomplete."""
-        if len(self.connection.inbound) and self.incomplete_since_ms is None:
+        if self.connection.inbound.size and self.incomplete_since_ms is None:
             self.incomplete_since_ms = self.active_ms
 
     # -- Calls
@@ -322,18 +341,43 @@
         self._frontend.call_queue.add(pending)
 
     def begin_call(self, pending: PendingCall) -> None:
-        """Begin an open call that was queued."""
+        """Begin an open call that was queued; its ``scan`` says if that takes further turns."""
         self._queued_count -= 1
         self._pending_count -= 1
         if self.deferred_calls or self.connection.buffered_since_s is not None:
             self.resume_deferred()
         if len(self.open_calls) - self._pending_count <= MAX_OPEN_CALLS:
             self._frontend.call_admission.begin(self, pending)
+            if pending.scan is not None:
+                self._queued_count += 1
+                self._pending_count += 1
             return
         # A flood of one client's calls would be queued ahead of all other clients' calls.
         log.warning("call_rejected reason=too_many_open_calls limit=%d", MAX_OPEN_CALLS)
         self._frontend.call_admission.reject(self, pending.call)
 
+    def expire_call(self, pending: PendingCall) -> None:
+        """Reject a queued call whose client's time has passed."""
+        log.warning("call_rejected reason=expired_in_queue")
+        self._reject_pending([pending])
+
+    def usage_level(self) -> int:
+        """Return how much of the loop's time the client has used without a result."""
+        if self.usage is None:
+            return 0
+        return self.usage.level(self._frontend.loop.clock())
+
+    def count_usage(self, units: int) -> None:
+        """Count time of the loop that brought no result."""
+        now_s = self._frontend.loop.clock()
+        if self.usage is None:
+            self.usage = ClientUsage(now_s)
+        self.usage.add(units, now_s)
+
+    def count_unserved_call(self) -> None:
+        """Count a call that ended without a result."""
+        self.count_usage(UNSERVED_CALL_UNITS)
+
     def drop_call(self) -> None:
         """Account for a call that was withdrawn, now that the queue has come to it."""
         self._queued_count -= 1
@@ -409,6 +453,10 @@
             return
         may_begin = self.deferred_calls and not self.write_blocked
         if may_begin or self.connection.buffered_since_s is not None:
+            self._plan_resume()
+
+    def _plan_resume(self) -> None:
+        if not self._resume_planned:
             self._resume_planned = True
             self._frontend.loop.call_later(0, self._process_deferred)
 
@@ -437,14 +485,18 @@
             call.held_bytes += size_bytes
             self.charge(size_bytes)
 
-    def _has_room_for_frame(self) -> bool:
-        """Return whether the next frame, if it is complete, can be decoded within the limit."""
+    def _has_frame(self) -> bool:
+        """Return whether the inbound buffer begins with a complete frame."""
         inbound = self.connection.inbound
         if len(inbound) <= thrift.LENGTH_BYTES:
+            return False
+        return thrift.next_frame_bytes(inbound) <= len(inbound)
+
+    def _has_room_for_frame(self) -> bool:
+        """Return whether the next frame, if it is complete, can be decoded within the limit."""
+        if not self._has_frame():
             return True
-        frame_bytes = thrift.next_frame_bytes(inbound)
-        if frame_bytes > len(inbound):
-            return True
+        frame_bytes = thrift.next_frame_bytes(self.connection.inbound)
         return self._frontend.memory.has_room(self, frame_bytes + CALL_OVERHEAD_BYTES)
 
     def memory_available(self) -> None:
@@ -552,6 +604,8 @@
         """Return why the connection is to be closed; None if no time limit has passed."""
         if now_ms - self.active_ms > RELEASE_BUFFERS_AFTER_MS:
             self.connection.release_buffers()
+            if not self.usage_level():
+                self.usage = None
             if not self.open_calls:
                 self.open_calls = NO_OPEN_CALLS
         return overdue_reason(self, now_ms)
--- a/umberusher/frontend/response_sink.py
+++ b/umberusher/frontend/response_sink.py
@@ -16,6 +16,9 @@
     def answer(self, seqid: int, data: bytes) -> None:
         """Write the encoded answer of the open call ``seqid``."""
 
+    def count_unserved_call(self) -> None:
+        """Count a call that ended without a result for the client's usage of the loop."""
+
     def earn_retry_credit(self) -> None:
         """Count a call that was served for the client's retry credit."""
 
@@ -43,10 +46,12 @@
 
     def send_rejection(self, backoff_ms: float | None) -> None:
         """Reject the call; the client may retry after ``backoff_ms``."""
+        self.client.count_unserved_call()
         self.client.answer(self.seqid, encode_rejection(self.seqid, backoff_ms))
 
     def send_failure(self, why: str) -> None:
         """Answer that the call failed, with the reason."""
+        self.client.count_unserved_call()
         self.client.answer(self.seqid, thrift.encode_aborted(self.seqid, {"reason": why}))
 
     def charge(self, size_bytes: int) -> None:
--- a/umberusher/frontend/thrift_frontend.py
+++ b/umberusher/frontend/thrift_frontend.py
@@ -112,7 +112,7 @@
         self.listener: Listener | None = None
         self.additional_listeners: list[Listener] = []
         self.peer_client_count = 0
-        self.call_queue = CallQueue(loop.clock)
+        self.call_queue = CallQueue(loop.clock, loop, now_ms)
         self.key_arrivals = key_arrivals
         self.call_admission = CallAdmission(admission, schema, key_arrivals, key_loans)
         self._timestamps = ReceiveTimestamps(loop.clock, unix_clock)
@@ -285,11 +285,17 @@
         self._timestamps.compare_clocks()
 
     def _forget_arrivals(self) -> None:
-        """Forget the arrivals that no pending or deferred call can precede."""
-        if self.call_queue.is_pending:
-            return
-        deferred = [each.deferred_calls for each in self.clients if each.deferred_calls]
-        oldest_s = min((each.first_arrival.after_s for each in deferred), default=math.inf)
+        """Forget the arrivals that no pending, deferred or unread call can precede.
+
+        While calls wait all the time, clients may send ever new keys.
+        """
+        oldest_s = self.call_queue.oldest_arrival_s()
+        for client in self.clients:
+            if client.deferred_calls:
+                oldest_s = min(oldest_s, client.deferred_calls.first_arrival.after_s)
+            buffered_since_s = client.connection.buffered_since_s
+            if buffered_since_s is not None:
+                oldest_s = min(oldest_s, buffered_since_s)
         self.key_arrivals.forget_before(min(self.loop.clock() - RETENTION_S, oldest_s))
 
     # -- Shutdown
--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -124,6 +124,7 @@
             it accepts all.
         reading_paused: Whether the owner reads no input for now.
         awaits_memory: Whether reading waits for the owner's memory.
+        awaits_turn: Whether reading waits until the owner has processed what it has left.
         on_connected: The peer has accepted the connection; nothing is written before this returns.
         on_open: The connection is open; queued messages are written next.
         on_data: More bytes are in ``inbound``.
@@ -136,6 +137,7 @@
         "_closing_timer",
         "_in_hook",
         "awaits_memory",
+        "awaits_turn",
         "fd",
         "inbound",
         "loop",
@@ -181,6 +183,7 @@
         self.writing: Message | None = None
         self.reading_paused = False
         self.awaits_memory = False
+        self.awaits_turn = False
         self.sent_bytes = 0
         self.write_blocked_since_s: float | None = None
         self._closing_timer: Timer | None = None
@@ -274,7 +277,7 @@
         for _ in range(MAX_PENDING_READS):
             if self.state is not OPEN or self._in_hook or self.reading_paused:
                 break
-            if self.awaits_memory or not self.inbound.free_bytes or not self._read():
+            if not self._can_read() or not self._read():
                 break
         self._update_watch()
 
@@ -366,7 +369,8 @@
                 self._flush()
             if self.state is OPEN and events & ~WRITE:
                 # The buffer may have been filled since the poll that has reported input.
-                if not self.awaits_memory and self.inbound.free_bytes > 0:
+                is_held = self.awaits_memory or self.awaits_turn
+                if not is_held and self.inbound.free_bytes > 0:
                     self._read()
                 elif events & HUNG_UP:
                     self.close("failed or closed by the peer while its input could not be read")
@@ -410,7 +414,7 @@
             events = READ
         elif self.reading_paused:
             events = 0
-        elif self.awaits_memory:
+        elif self.awaits_memory or self.awaits_turn:
             events = READ_CLOSED
         elif self.inbound.free_bytes > 0:
             events = READ
@@ -425,6 +429,10 @@
         if self.state in (OPEN, CLOSING) and not self._in_hook:
             self.loop.watch(self.fd, self._wanted_events())
 
+    def _can_read(self) -> bool:
+        """Return whether input may be read and fits."""
+        return not (self.awaits_memory or self.awaits_turn) and self.inbound.free_bytes > 0
+
     def _read(self) -> bool:
         """Read once and let the owner process it; return whether any bytes arrived."""
         try:
@@ -479,7 +487,7 @@
         """
         try:
             while self.state in (OPEN, CLOSING):
-                if len(self.outbound):
+                if self.outbound.size:
                     count = self.outbound.send_to(self.sock)
                 elif self.writing is not None:
                     written = self.writing
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -108,6 +108,7 @@
         previous_poll_s: When the poll before the last one began. Input of a descriptor that was
             watched and empty then has arrived since.
         poll_count: The number of polls.
+        busy_since_s: When the last poll that had to wait has returned.
         inputs_may_be_unordered: Whether inputs that the last poll has reported may have arrived in
             another order than that in which they are read.
         running: Whether ``run`` continues.
@@ -134,6 +135,7 @@
         self._polled_at_s = self.oldest_input_at_s
         self.previous_poll_s = self.oldest_input_at_s
         self.poll_count = 0
+        self.busy_since_s = self.oldest_input_at_s
         self.inputs_may_be_unordered = False
         # The latest time until which input of a stall is still read; 0 if there was no stall.
         self._catch_up_until_s = 0.0
@@ -322,6 +324,8 @@
         now = self.clock()
         stalled = now - self._last_poll_s > timeout_s + STALL_THRESHOLD_S
         waited = now - began_s > MIN_BLOCKING_POLL_S
+        if waited or not any_ready:
+            self.busy_since_s = now
         if stalled:
             self.oldest_input_at_s = self._last_poll_s
             self._catch_up_until_s = now + MAX_CATCH_UP_S
--- a/umberusher/net/ring.py
+++ b/umberusher/net/ring.py
@@ -28,15 +28,16 @@
     """Bytes in order, at most ``limit`` of them.
 
     The capacity doubles as needed, so appending is O(1) amortised for each byte. Invariants: the
-    content is the ``_size`` bytes from ``_head`` on, modulo the capacity; ``_size`` is at most the
+    content is the ``size`` bytes from ``_head`` on, modulo the capacity; ``size`` is at most the
     capacity, and that at most ``limit``; an empty ring begins at 0. The capacity above
     ``IDLE_CAPACITY_BYTES`` is charged to the owner's memory, if the ring has any.
 
     Attributes:
         limit: The maximum number of bytes that the ring holds.
+        size: The number of bytes held, also ``len()`` of the ring.
     """
 
-    __slots__ = ("_data", "_head", "_initial_capacity", "_memory", "_size", "limit")
+    __slots__ = ("_data", "_head", "_initial_capacity", "_memory", "limit", "size")
 
     def __init__(
         self,
@@ -56,7 +57,7 @@
         self._initial_capacity = min(initial_capacity, limit)
         self._data = bytearray(min(IDLE_CAPACITY_BYTES, limit))
         self._head = 0
-        self._size = 0
+        self.size = 0
 
     @classmethod
     def preallocated(cls, limit: int) -> RingBuffer:
@@ -71,12 +72,12 @@
 
     def __len__(self) -> int:
         """Return the number of bytes held."""
-        return self._size
+        return self.size
 
     @property
     def free_bytes(self) -> int:
         """How many more bytes may be appended."""
-        return self.limit - self._size
+        return self.limit - self.size
 
     @property
     def allocated_bytes(self) -> int:
@@ -101,7 +102,7 @@
 
     def _grow(self, capacity: int) -> None:
         grown = bytearray(capacity)
-        grown[: self._size] = self.peek(self._size)
+        grown[: self.size] = self.peek(self.size)
         self._data = grown
         self._head = 0
 
@@ -118,7 +119,7 @@
         The initial capacity is granted in any case, so that small messages are read whatever others
         hold.
         """
-        capacity = self._grown_capacity(max(self._size + 1, self._initial_capacity))
+        capacity = self._grown_capacity(max(self.size + 1, self._initial_capacity))
         if self._memory is not None:
             added_bytes = _charged_bytes(capacity) - _charged_bytes(len(self._data))
             if capacity <= self._initial_capacity:
@@ -144,14 +145,14 @@
     def write(self, data: bytes) -> bool:
         """Append all of ``data``; return False, with nothing appended, if it does not fit."""
         size = len(data)
-        if size > self.limit - self._size:
+        if size > self.limit - self.size:
             return False
-        self._reserve(self._size + size)
+        self._reserve(self.size + size)
         offset = 0
-        for low, high in self._spans(self._head + self._size, size):
+        for low, high in self._spans(self._head + self.size, size):
             self._data[low:high] = data[offset : offset + high - low]
             offset += high - low
-        self._size += size
+        self.size += size
         return True
 
     def write_through(self, sock: socket.socket, data: bytes) -> int:
@@ -178,17 +179,17 @@
 
         There must be free bytes. Returns None if the owner's memory has no room for more capacity.
         """
-        if self._size == len(self._data) and not self._try_grow():
+        if self.size == len(self._data) and not self._try_grow():
             return None
         # An empty ring begins at 0: all of it is one span.
         low, high = 0, len(self._data)
-        if self._size:
-            low, high = self._spans(self._head + self._size, high - self._size)[0]
+        if self.size:
+            low, high = self._spans(self._head + self.size, high - self.size)[0]
         return memoryview(self._data)[low:high]
 
     def commit(self, count: int) -> None:
         """Append the ``count`` bytes that were received into the writable span."""
-        self._size += count
+        self.size += count
 
     def receive_from(self, sock: socket.socket) -> int | None:
         """Read from a socket once and return the count; 0 at the end of input.
@@ -199,12 +200,12 @@
         if span is None:
             return None
         count = sock.recv_into(span)
-        self._size += count
+        self.size += count
         return count
 
     def send_to(self, sock: socket.socket) -> int:
         """Send the first span to a socket once; drop what was sent and return its count."""
-        low, high = self._spans(self._head, self._size)[0]
+        low, high = self._spans(self._head, self.size)[0]
         with memoryview(self._data) as view:
             count = sock.send(view[low:high])
         self.discard(count)
@@ -221,20 +222,20 @@
     def discard(self, size: int) -> None:
         """Drop the first ``size`` bytes; O(1)."""
         self._head = (self._head + size) % len(self._data)
-        self._size -= size
-        if not self._size:
+        self.size -= size
+        if not self.size:
             self._head = 0
             if len(self._data) > self._initial_capacity:
                 self._replace_empty(self._initial_capacity)
 
     def release(self) -> None:
         """Release the memory of an empty ring."""
-        if not self._size and len(self._data) > IDLE_CAPACITY_BYTES:
+        if not self.size and len(self._data) > IDLE_CAPACITY_BYTES:
             self._replace_empty(min(IDLE_CAPACITY_BYTES, self.limit))
 
     def drop(self) -> None:
         """Drop the content and release its memory: the connection has closed."""
-        self._size = 0
+        self.size = 0
         self._head = 0
         self.release()
 
@@ -246,7 +247,7 @@
 
     def find(self, pattern: bytes, limit: int) -> int:
         """Return where ``pattern`` first begins in the first ``limit`` bytes, or -1; O(limit)."""
-        size = min(self._size, limit)
+        size = min(self.size, limit)
         if self._head + size <= len(self._data):
             position = self._data.find(pattern, self._head, self._head + size)
             return position - self._head if position >= 0 else -1
--- a/umberusher/net/timed_connection.py
+++ b/umberusher/net/timed_connection.py
@@ -11,6 +11,8 @@
 
 # One object for all idle connections, which are the majority.
 LONG_AGO_S = -math.inf
+# Messages that an owner may process in one turn; a long one counts more.
+UNITS_PER_TURN = 32
 
 
 class TimedConnection(Connection):
@@ -23,6 +25,7 @@
         received_after_s: The bytes of the last read have arrived after this time of the loop.
         received_by_s: They have arrived by this time of the loop.
         last_byte_is_timed: Whether the last byte read arrived exactly at ``received_by_s``.
+        turn_units: What the owner may still process in this turn; further input waits for others.
         buffered_since_s: The owner has left complete messages in ``inbound`` that have arrived
             after this time; None if it has left none.
     """
@@ -35,6 +38,7 @@
         "last_byte_is_timed",
         "received_after_s",
         "received_by_s",
+        "turn_units",
     )
 
     def __init__(
@@ -66,8 +70,14 @@
         self.received_after_s = established_after_s
         self.received_by_s = established_after_s
         self.last_byte_is_timed = False
+        self.turn_units = UNITS_PER_TURN
         self.buffered_since_s: float | None = None
 
+    def process_buffered(self) -> None:
+        """Give the owner a turn to process input that it has left in the inbound ring."""
+        self.turn_units = UNITS_PER_TURN
+        super().process_buffered()
+
     def release_buffers(self) -> None:
         """Release the memory of empty buffers, and of times that the next read sets anew."""
         super().release_buffers()
@@ -79,13 +89,14 @@
 
     def _read(self) -> bool:
         """Read until the kernel holds no more, a bounded number of times."""
+        self.turn_units = UNITS_PER_TURN
         if not super()._read():
             return False
         for _ in range(MAX_PENDING_READS - 1):
             holds_more = self._unread_at_poll == self.loop.poll_count
             if not holds_more or self.state is not State.OPEN:
                 break
-            if self.awaits_memory or not self.inbound.free_bytes or not super()._read():
+            if not self._can_read() or not super()._read():
                 break
         return True
 
--- a/umberusher/protocol/thrift.py
+++ b/umberusher/protocol/thrift.py
@@ -245,7 +245,7 @@
         The frame without its length; None while more bytes are needed; Malformed if the length is
         invalid, after which no further frame can be read.
     """
-    buffered_bytes = len(ring)
+    buffered_bytes = ring.size
     if buffered_bytes < LENGTH_BYTES:
         return None
     size = _I32.unpack(ring.peek(LENGTH_BYTES))[0]
