Reject a call that waits for the other process at its deadline

Cause: a call that waits for a claim on its key is no request yet, and the only time that was watched was the claim's own second. Evidence: the test, in which the old process never answers, failed before; so a late answer, the other hypothesis, has no part in it.

Change: such a call has a timer at its deadline, set by its connection and cancelled with the decision or the call. It works because the time that is watched is the call's own.

--- a/tests/hot_restart/test_key_ownership.py
+++ b/tests/hot_restart/test_key_ownership.py
@@ -218,6 +218,17 @@
     assert not new.registry.requests and not second.read()
 
 
+def test_call_that_waits_for_the_predecessor_is_rejected_at_its_deadline(rig, tmp_path):
+    """Case 10 of the review: it waited a second for its key, whatever its time was."""
+    rig, new, _, second, _ = with_load_at_predecessor(rig, tmp_path)
+    second.sock.send(execute_call(2, "load", budget="300", obj="k"))
+    rig.advance_ms(240)
+    assert not second.read()
+    rig.advance_ms(120)
+    rig.until(lambda: b"backoff" in second.read())
+    assert not new.registry.requests
+
+
 def test_older_predecessor_is_asked_for_no_key(rig, tmp_path, monkeypatch):
     monkeypatch.setattr(messages, "announced_version", lambda fields: 2)
     rig, new = broker_with_successor(rig, tmp_path)
--- a/umberusher/frontend/call_admission.py
+++ b/umberusher/frontend/call_admission.py
@@ -51,10 +51,10 @@
     def count_usage(self, units: int) -> None:
         """Count time of the loop that a long statement took."""
 
-    def await_claim(self) -> None:
-        """Count a call that waits for another process as one that is not begun."""
+    def await_claim(self, pending: PendingCall, deadline_ms: float) -> None:
+        """Count a call that waits for another process as not begun; reject it at its deadline."""
 
-    def claim_decided(self) -> None:
+    def claim_decided(self, pending: PendingCall) -> None:
         """End what ``await_claim`` began."""
 
 
@@ -153,7 +153,7 @@
         elif self._key_loans.owner is None:
             self._decide(client, pending, request, True)
         else:
-            client.await_claim()
+            client.await_claim(pending, request.arrival.deadline_ms)
             self._key_loans.claim(
                 key,
                 arrival.after_s,
@@ -166,7 +166,7 @@
     ) -> None:
         """Admit or reject a call for whose key another process was asked."""
         if not pending.is_withdrawn:
-            client.claim_decided()
+            client.claim_decided(pending)
             self._decide(client, pending, request, granted)
 
     def _decide(
--- a/umberusher/frontend/call_queue.py
+++ b/umberusher/frontend/call_queue.py
@@ -20,6 +20,7 @@
 from umberusher.protocol import thrift
 
 if TYPE_CHECKING:
+    from umberusher.net.loop import Timer
     from umberusher.pipeline.request import Request
     from umberusher.protocol.statement import TableGroupScan
 
@@ -79,6 +80,7 @@
         expires_ms: The broker's time at which it must be answered.
         request: Its request, once its fields were decoded.
         scan: The scan of its statement, while that takes further turns.
+        timer: Rejects it at its deadline, while it waits for another process.
     """
 
     __slots__ = (
@@ -91,6 +93,7 @@
         "is_withdrawn",
         "request",
         "scan",
+        "timer",
     )
 
     def __init__(self, client: CallingClient, call: thrift.Execute, arrival: Arrival) -> None:
@@ -104,10 +107,13 @@
         self.expires_ms = math.inf
         self.request: Request | None = None
         self.scan: TableGroupScan | None = None
+        self.timer: Timer | None = None
 
     def withdraw(self) -> None:
         """Mark the call as withdrawn and free its statement; the queue drops it in its turn."""
         self.is_withdrawn = True
+        if self.timer is not None:
+            self.timer.cancel()
         self.finish()
 
     def finish(self) -> None:
--- a/umberusher/frontend/client_connection.py
+++ b/umberusher/frontend/client_connection.py
@@ -394,13 +394,23 @@
         request.arrival.retry_budget_eligible = self.retry_credit > 0
         self.retry_credit = max(self.retry_credit - 1, 0)
 
-    def await_claim(self) -> None:
-        """Count a call that waits for another process as one that is not begun."""
+    def await_claim(self, pending: PendingCall, deadline_ms: float) -> None:
+        """Count a call that waits for another process as not begun; reject it at its deadline."""
         self._pending_count += 1
+        remaining_ms = deadline_ms - self._frontend.now_ms()
+        pending.timer = self._frontend.loop.call_later(
+            remaining_ms, lambda: self._expire_claim(pending)
+        )
+
+    def _expire_claim(self, pending: PendingCall) -> None:
+        log.warning("call_rejected reason=expired_in_claim")
+        self._reject_pending([pending])
 
-    def claim_decided(self) -> None:
+    def claim_decided(self, pending: PendingCall) -> None:
         """End what ``await_claim`` began."""
         self._pending_count -= 1
+        if pending.timer is not None:
+            pending.timer.cancel()
 
     def _close_malformed(self, reason: str) -> None:
         log.warning("client_closed reason=%r", reason)
