Send nothing on for clients that have closed with input unread

Cause: the end was seen only in its place in the stream, behind all unread input. Evidence: a closed connection with 100,000 unread bytes reports input alone when polled for input, and the hang-up too when polled for both; so the kernel tells, and was not asked.

Change: clients' connections are polled for the hang-up beside input, and it ends them at once. Before an attempt whose client has more unread input it is asked for. Engines' connections are read to their end as before. It works because the kernel tells the end apart from what precedes it.

--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -133,6 +133,9 @@
         on_released: A connection that was CLOSING has closed its descriptor.
     """
 
+    # The events after which input that the kernel holds is not read any more.
+    LAST_EVENTS = 0
+
     __slots__ = (
         "_closing_timer",
         "_in_hook",
@@ -370,10 +373,10 @@
             if self.state is OPEN and events & ~WRITE:
                 # The buffer may have been filled since the poll that has reported input.
                 is_held = self.awaits_memory or self.awaits_turn
-                if not is_held and self.inbound.free_bytes > 0:
+                if not is_held and self.inbound.free_bytes > 0 and not events & self.LAST_EVENTS:
                     self._read()
                 elif events & HUNG_UP:
-                    self.close("failed or closed by the peer while its input could not be read")
+                    self._on_hung_up()
         while self.state is CLOSING:
             events = yield Wait(self.fd, self._wanted_events())
             if self.state is CLOSING and events & WRITE:
@@ -417,7 +420,7 @@
         elif self.awaits_memory or self.awaits_turn:
             events = READ_CLOSED
         elif self.inbound.free_bytes > 0:
-            events = READ
+            events = READ | (self.LAST_EVENTS & READ_CLOSED)
         else:
             # A full ring can't be read into, so the end of input is detected by EPOLLRDHUP instead.
             events = READ_CLOSED
@@ -429,6 +432,10 @@
         if self.state in (OPEN, CLOSING) and not self._in_hook:
             self.loop.watch(self.fd, self._wanted_events())
 
+    def _on_hung_up(self) -> None:
+        """Close: the peer has gone, and its input can't be read."""
+        self.close("failed or closed by the peer while its input could not be read")
+
     def _can_read(self) -> bool:
         """Return whether input may be read and fits."""
         return not (self.awaits_memory or self.awaits_turn) and self.inbound.free_bytes > 0
--- a/umberusher/net/timed_connection.py
+++ b/umberusher/net/timed_connection.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import math
+import select
 import socket
 
 from umberusher.net.connection import MAX_PENDING_READS, Connection, State, prepare_socket
-from umberusher.net.loop import Loop
+from umberusher.net.loop import HUNG_UP, Loop
 from umberusher.net.receive_timestamps import ReceiveTimestamps
 
 # One object for all idle connections, which are the majority.
@@ -18,6 +19,9 @@
 class TimedConnection(Connection):
     """A connection that reads until the kernel holds no more, and bounds the times of arrival.
 
+    A peer that has shut down its side has gone: what it has sent before is not read any more, since
+    nobody waits for it.
+
     The bounds come from the loop's polls. Where inputs of several connections may be out of order
     and the socket has timestamps, these make them narrower.
 
@@ -30,6 +34,8 @@
             after this time; None if it has left none.
     """
 
+    LAST_EVENTS = HUNG_UP
+
     __slots__ = (
         "_timestamps",
         "_unread_at_poll",
@@ -100,6 +106,24 @@
                 break
         return True
 
+    def read_pending(self) -> None:
+        """Read what the kernel holds now, and notice the end even if there is more to read."""
+        super().read_pending()
+        is_held = self.awaits_memory or self.awaits_turn
+        may_hold_more = is_held or self._unread_at_poll == self.loop.poll_count
+        if may_hold_more and self.state is State.OPEN and not self._in_hook:
+            poll = select.poll()
+            poll.register(self.fd, select.POLLRDHUP)
+            if poll.poll(0):
+                self._on_hung_up()
+
+    def _on_hung_up(self) -> None:
+        """Close; what the kernel still holds is dropped, so that the close causes no reset."""
+        if self.has_unread_input():
+            self.close_gracefully("ended by the other side with unread input")
+        else:
+            self.close("ended by the other side")
+
     def _receive(self) -> int | None:
         loop = self.loop
         after_s = loop.previous_poll_s
