Run no load a second time when its id comes again

Cause: the check on ids looked at requests that the broker waits for. A load left it when its cancellation was settled, and its work may go on.

Change: pipeline/finished_ids.py remembers the id of each non-idempotent request that may have run, for the longest time of any class after its end, and is charged to the account of memory. An id that comes again fails, as for an open one; one whose load never ran may come again. It works because the record holds what may have run, not what is awaited.

--- a/umberusher/broker/broker.py
+++ b/umberusher/broker/broker.py
@@ -123,7 +123,11 @@
         may_retry = self.contracts.may_retry if self.contracts else None
         self.balancer = LoadBalancer(config.settings, config.seed, may_retry)
         self.registry = RequestRegistry(
-            self.post, self.now_ms, config.settings.classes, self.contracts
+            self.post,
+            self.now_ms,
+            config.settings.classes,
+            self.contracts,
+            SharedMemory(self.memory),
         )
         self.endpoints = EndpointRegistry(
             self.post,
@@ -380,6 +384,7 @@
         self.readiness.log_start()
         if self.contracts is not None:
             self.contracts.sweep()
+        self.registry.finished_ids.forget_old()
         self.shared_limits.update()
         self.key_ownership.sweep()
         self._take_over_accepting()
--- a/umberusher/pipeline/admission.py
+++ b/umberusher/pipeline/admission.py
@@ -92,6 +92,8 @@
             log.warning("request_id_already_open request=%s", request.request_id)
             self.registry.close(request, FinalOutcome.FAILED)
             request.response_sink.send_failure("this id is open already")
+        elif request.request_id in self.registry.finished_ids:
+            self.fail_repeated(request)
         elif (
             self.memory_pressure
             or self._clock() > self.closes_at_s
@@ -104,6 +106,12 @@
             open_requests[request.request_id] = request
             self._post(request.arrival)
 
+    def fail_repeated(self, request: Request) -> None:
+        """Fail a request whose id comes again after it may have run."""
+        log.warning("request_id_may_have_run request=%s", request.request_id)
+        self.registry.close(request, FinalOutcome.FAILED)
+        request.response_sink.send_failure("a request of this id may have run")
+
     def _admitted_by_contract(self, contracts: ContractCheck, request: Request) -> bool:
         """Return whether the team's contract admits the request; else give it its final answer."""
         try:
--- a/umberusher/pipeline/request_registry.py
+++ b/umberusher/pipeline/request_registry.py
@@ -21,7 +21,9 @@
     LoadReport,
 )
 from umberusher.decisions.settings import QueryClass
+from umberusher.net.ring import RingMemory
 from umberusher.pipeline.deadline_recorder import DeadlineRecorder
+from umberusher.pipeline.finished_ids import FinishedIds
 from umberusher.pipeline.request import Attempt, AttemptFailure, Request, SendProgress
 from umberusher.protocol.engine import QueryCost
 
@@ -52,6 +54,7 @@
             end.
         final_answers: Final answers by outcome and class.
         attempt_outcomes: Ended attempts by outcome.
+        finished_ids: Ids of non-idempotent requests that have ended and may have run.
         attempts_sent: Attempts that were sent completely.
         network_delays: The network delay to each engine, as the attempts' connections measure it.
         account: The account of requests that ended late or expired.
@@ -67,6 +70,7 @@
         "attempt_outcomes",
         "attempts_sent",
         "final_answers",
+        "finished_ids",
         "network_delays",
         "now_ms",
         "post",
@@ -79,6 +83,7 @@
         now_ms: Callable[[], float],
         classes: tuple[QueryClass, ...] = (),
         observer: RequestObserver | None = None,
+        memory: RingMemory | None = None,
     ) -> None:
         self.post = post
         self.now_ms = now_ms
@@ -88,6 +93,9 @@
         self._deadlines = DeadlineRecorder(now_ms, self._classes, self.network_delays)
         self.account: DeadlineAccount = self._deadlines.account
         self.requests: dict[str, Request] = {}
+        # Work that began at the end of its time is over after as much time again.
+        longest_ms = max((each.deadline_ms for each in classes), default=0.0)
+        self.finished_ids = FinishedIds(now_ms, longest_ms, memory)
         self.final_answers: dict[FinalOutcome, Counter[str]] = {
             outcome: Counter() for outcome in FinalOutcome
         }
@@ -199,6 +207,8 @@
         if self._observer is not None:
             self._settle(self._observer, attempt, outcome)
         attempt.pages = {}
+        if request.non_idempotent and not outcome.never_ran:
+            self.finished_ids.add(request.request_id)
         if self.account.emit_event is not None and request.is_open:
             self._deadlines.attempt_ended(attempt)
         self.attempt_outcomes[outcome] += 1
