Let one process of an upgrade decide on the ids of loads

Cause: ids were compared with the open requests of one process.

Change: the predecessor owns all ids (hot_restart/request_ids.py, messages of version 4). The successor asks before a non-idempotent request runs, and an id is granted once; the predecessor reports the ids that it admits, so that they are known when it has ended. Older versions work as before. It works because one process decides, before the load runs: no time lies between look and act.

--- a/umberusher/broker/broker.py
+++ b/umberusher/broker/broker.py
@@ -37,6 +37,7 @@
 from umberusher.frontend.thrift_frontend import ThriftFrontend
 from umberusher.hot_restart.hot_restart import HotRestart
 from umberusher.hot_restart.key_ownership import KeyOwnership
+from umberusher.hot_restart.request_ids import RequestIds
 from umberusher.hot_restart.successor import HandoverRefused, HandoverState, request_handover
 from umberusher.net.loop import Loop
 from umberusher.net.memory_account import MemoryAccount, SharedMemory
@@ -192,6 +193,7 @@
             lambda key: self.balancer.key_order.is_idle(key, self.now_ms()),
             self.key_arrivals.admits,
         )
+        self.request_ids = RequestIds(self.registry)
         self.frontend = ThriftFrontend(
             self.loop,
             self.admission,
@@ -203,6 +205,7 @@
             RequestSchema(config.settings),
             self.key_arrivals,
             self.key_ownership,
+            self.request_ids,
             config.memory_mb,
             self.memory,
             None if self.contracts is None else self.contracts.origin,
@@ -217,6 +220,7 @@
             self._shutdown_request,
             memory_mb,
             self.key_ownership,
+            self.request_ids,
         )
         self.hot_restart = HotRestart(
             self.loop, path, self.restart_host, self.config.max_list_bytes
--- a/umberusher/broker/restart_host.py
+++ b/umberusher/broker/restart_host.py
@@ -12,6 +12,7 @@
 from umberusher.frontend.thrift_frontend import ThriftFrontend
 from umberusher.hot_restart.key_ownership import KeyOwnership
 from umberusher.hot_restart.messages import Greeting, JsonObject, ResourceUsage
+from umberusher.hot_restart.request_ids import RequestIds
 from umberusher.hot_restart.successor import HandoverState
 from umberusher.protocol.discovery import WatchEvent, encode_endpoint_list
 from umberusher.upstream.upstream import Upstream
@@ -25,6 +26,7 @@
 
     Attributes:
         key_ownership: Which process may run requests of an order key.
+        request_ids: Which process may run a non-idempotent request of an id.
     """
 
     __slots__ = (
@@ -35,6 +37,7 @@
         "_shutdown_request",
         "_upstream",
         "key_ownership",
+        "request_ids",
     )
 
     def __init__(
@@ -46,6 +49,7 @@
         shutdown_request: ShutdownRequest,
         memory_mb: Callable[[], float],
         key_ownership: KeyOwnership,
+        request_ids: RequestIds,
     ) -> None:
         self._endpoints = endpoints
         self._frontend = frontend
@@ -54,6 +58,7 @@
         self._shutdown_request = shutdown_request
         self._memory_mb = memory_mb
         self.key_ownership = key_ownership
+        self.request_ids = request_ids
 
     # -- State that is sent to a peer
 
--- a/umberusher/frontend/call_admission.py
+++ b/umberusher/frontend/call_admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
 from umberusher.deadlines.account import FinalOutcome
@@ -58,10 +59,25 @@
         """End what ``await_claim`` began."""
 
 
+class IdClaims(Protocol):
+    """The ids of non-idempotent requests that this process shares with another one.
+
+    Attributes:
+        is_alone: Whether no other process has to know of an id.
+    """
+
+    @property
+    def is_alone(self) -> bool:
+        """Whether no other process has to know of an id."""
+
+    def claim(self, request_id: str, on_decided: Callable[[bool], None]) -> None:
+        """Ask whether a request may run; ``on_decided`` is called at once if no other decides."""
+
+
 class CallAdmission:
     """Passes the requests of calls to admission, those of an order key in the order of arrival."""
 
-    __slots__ = ("_admission", "_key_arrivals", "_key_loans", "_schema")
+    __slots__ = ("_admission", "_id_claims", "_key_arrivals", "_key_loans", "_schema")
 
     def __init__(
         self,
@@ -69,6 +85,7 @@
         schema: RequestSchema,
         key_arrivals: KeyArrivals,
         key_loans: KeyLoans,
+        id_claims: IdClaims,
     ) -> None:
         """Create the admission.
 
@@ -77,11 +94,13 @@
             schema: The classes and value ranges that calls must keep to.
             key_arrivals: Knows which calls may have arrived before those that were begun.
             key_loans: The order keys that this process shares with another one.
+            id_claims: The ids that this process shares with another one.
         """
         self._admission = admission
         self._schema = schema
         self._key_arrivals = key_arrivals
         self._key_loans = key_loans
+        self._id_claims = id_claims
 
     def begin(self, client: AdmittedClient, pending: PendingCall) -> None:
         """Admit the request of a call, or give the call its final answer.
@@ -139,8 +158,7 @@
         if key is not None and self._schema.classes[request.arrival.query_class].ordered_by_key:
             self._begin_in_order(client, pending, request, key)
         else:
-            client.open_request(call.seqid, request)
-            self._admission.admit(request)
+            self._open(client, pending, request)
 
     def _begin_in_order(
         self, client: AdmittedClient, pending: PendingCall, request: Request, key: str
@@ -173,14 +191,37 @@
         self, client: AdmittedClient, pending: PendingCall, request: Request, in_order: bool
     ) -> None:
         """Admit a request of an order key, or reject its call."""
-        seqid = pending.call.seqid
         if in_order:
-            client.open_request(seqid, request)
-            self._admission.admit(request)
+            self._open(client, pending, request)
             return
         log.warning("call_rejected reason=order_unknown key=%r", request.arrival.key)
         self.reject(client, pending.call)
 
+    def _open(self, client: AdmittedClient, pending: PendingCall, request: Request) -> None:
+        """Admit a request; a non-idempotent one if its id may run here."""
+        if self._id_claims.is_alone or not request.non_idempotent:
+            client.open_request(pending.call.seqid, request)
+            self._admission.admit(request)
+            return
+        client.await_claim(pending, request.arrival.deadline_ms)
+        self._id_claims.claim(
+            request.request_id,
+            lambda granted: self._on_id_decided(client, pending, request, granted),
+        )
+
+    def _on_id_decided(
+        self, client: AdmittedClient, pending: PendingCall, request: Request, granted: bool
+    ) -> None:
+        """Admit a request, or fail it if one of its id may have run in another process."""
+        if pending.is_withdrawn:
+            return
+        client.claim_decided(pending)
+        client.open_request(pending.call.seqid, request)
+        if granted:
+            self._admission.admit(request)
+        else:
+            self._admission.fail_repeated(request)
+
     def reject(self, client: AdmittedClient, call: thrift.Execute) -> None:
         """Reject an open call that has not become a request; its client may retry."""
         self._count_final_answer(FinalOutcome.REJECTED, call)
--- a/umberusher/frontend/thrift_frontend.py
+++ b/umberusher/frontend/thrift_frontend.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from umberusher.frontend.call_admission import CallAdmission
+from umberusher.frontend.call_admission import CallAdmission, IdClaims
 from umberusher.frontend.call_decoder import RequestSchema
 from umberusher.frontend.call_queue import CallQueue
 from umberusher.frontend.client_connection import ClientConnection
@@ -72,6 +72,7 @@
         schema: RequestSchema,
         key_arrivals: KeyArrivals,
         key_loans: KeyLoans,
+        id_claims: IdClaims,
         memory_mb: float,
         memory: MemoryAccount,
         origin_of_port: Callable[[int], Origin] | None = None,
@@ -90,6 +91,7 @@
             schema: The classes and value ranges that calls must keep to.
             key_arrivals: The latest arrivals of order keys.
             key_loans: The order keys that this process shares with another one.
+            id_claims: The ids that this process shares with another one.
             memory_mb: The memory limit, by which frames are bounded.
             memory: The account to which the clients' memory is charged.
             origin_of_port: Returns the origin of connections to a port; None if origins are not
@@ -114,7 +116,7 @@
         self.peer_client_count = 0
         self.call_queue = CallQueue(loop.clock, loop, now_ms)
         self.key_arrivals = key_arrivals
-        self.call_admission = CallAdmission(admission, schema, key_arrivals, key_loans)
+        self.call_admission = CallAdmission(admission, schema, key_arrivals, key_loans, id_claims)
         self._timestamps = ReceiveTimestamps(loop.clock, unix_clock)
         loop.add_deferred_work(self.call_queue)
 
--- a/umberusher/hot_restart/hot_restart.py
+++ b/umberusher/hot_restart/hot_restart.py
@@ -19,7 +19,7 @@
     SuccessorReady,
     VersionAnnouncement,
 )
-from umberusher.hot_restart.peer import KEY_CLAIMS_VERSION, Peer
+from umberusher.hot_restart.peer import ID_CLAIMS_VERSION, KEY_CLAIMS_VERSION, Peer
 from umberusher.hot_restart.predecessor import MAX_PEERS, HandoverListener
 from umberusher.hot_restart.successor import MESSAGE_TO_LIST_RATIO, HandoverState
 from umberusher.net.loop import Loop
@@ -83,6 +83,7 @@
         log.info("hot_restart_successor_connected")
         peer = self._add_peer(link, own_end, is_successor=True)
         peer.send_greeting(self._host.greeting())
+        self._host.request_ids.add_successor(peer)
 
     def on_successor_ready(self) -> None:
         """Stop accepting: the successor accepts, and its own socket is at the path now."""
@@ -117,6 +118,8 @@
         peer.send(VersionAnnouncement(MESSAGE_VERSION))
         if peer.version >= KEY_CLAIMS_VERSION:
             self._host.key_ownership.owner = peer
+        if peer.version >= ID_CLAIMS_VERSION:
+            self._host.request_ids.owner = peer
 
     def announce_ready(self) -> None:
         """Notify the predecessor that this process accepts clients from now on."""
@@ -144,6 +147,10 @@
         if key_ownership.owner is peer:
             key_ownership.on_owner_closed()
         key_ownership.on_borrower_closed(peer)
+        request_ids = self._host.request_ids
+        if request_ids.owner is peer:
+            request_ids.on_owner_closed()
+        request_ids.on_successor_closed(peer)
         if peer.is_ready and not self.successor_is_ready and self._host.resume_accepting():
             self.listen()
 
--- a/umberusher/hot_restart/interfaces.py
+++ b/umberusher/hot_restart/interfaces.py
@@ -12,6 +12,7 @@
 from umberusher.hot_restart.key_ownership import KeyOwnership
 from umberusher.hot_restart.messages import Greeting, JsonObject, ResourceUsage
 from umberusher.hot_restart.peer import Peer
+from umberusher.hot_restart.request_ids import RequestIds
 from umberusher.protocol.discovery import WatchEvent
 
 
@@ -68,9 +69,11 @@
 
     Attributes:
         key_ownership: Which process may run requests of an order key.
+        request_ids: Which process may run a non-idempotent request of an id.
     """
 
     key_ownership: KeyOwnership
+    request_ids: RequestIds
 
     @property
     def listening_socket(self) -> socket.socket | None:
--- a/umberusher/hot_restart/messages.py
+++ b/umberusher/hot_restart/messages.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from umberusher.hot_restart.interfaces import Message
 
-MESSAGE_VERSION = 3
+MESSAGE_VERSION = 4
 """The newest version of the messages that this program reads."""
 
 FIRST_VERSION = 1
@@ -231,6 +231,55 @@
         return cls(int(fields["release"]))
 
 
+class IdClaim(NamedTuple):
+    """``claim_id``: a successor wants to run a non-idempotent request."""
+
+    number: int
+    request_id: str
+
+    def to_json(self) -> JsonObject:
+        """Return ``{"claim_id": [number, id]}``."""
+        return {"claim_id": [self.number, self.request_id]}
+
+    @classmethod
+    def from_json(cls, fields: JsonObject) -> IdClaim:
+        """Read the message."""
+        number, request_id = fields["claim_id"]
+        return cls(int(number), str(request_id))
+
+
+class IdClaimAnswer(NamedTuple):
+    """``claimed_id``: whether the request may run."""
+
+    number: int
+    granted: bool
+
+    def to_json(self) -> JsonObject:
+        """Return ``{"claimed_id": [number, granted]}``."""
+        return {"claimed_id": [self.number, self.granted]}
+
+    @classmethod
+    def from_json(cls, fields: JsonObject) -> IdClaimAnswer:
+        """Read the message."""
+        number, granted = fields["claimed_id"]
+        return cls(int(number), granted is True)
+
+
+class IdReport(NamedTuple):
+    """``ids``: non-idempotent requests that run, or have run, in the predecessor."""
+
+    request_ids: list[str]
+
+    def to_json(self) -> JsonObject:
+        """Return ``{"ids": [id, ...]}``."""
+        return {"ids": self.request_ids}
+
+    @classmethod
+    def from_json(cls, fields: JsonObject) -> IdReport:
+        """Read the message."""
+        return cls([str(each) for each in fields["ids"]])
+
+
 class TeamBudgets(NamedTuple):
     """``teams``: the state of the teams' budgets, where there are contracts."""
 
@@ -322,6 +371,9 @@
     | KeyClaim
     | KeyClaimAnswer
     | KeyRelease
+    | IdClaim
+    | IdClaimAnswer
+    | IdReport
     | TeamBudgets
     | SuccessorReady
 )
@@ -339,6 +391,9 @@
     "claim": KeyClaim.from_json,
     "claimed": KeyClaimAnswer.from_json,
     "release": KeyRelease.from_json,
+    "claim_id": IdClaim.from_json,
+    "claimed_id": IdClaimAnswer.from_json,
+    "ids": IdReport.from_json,
     "teams": TeamBudgets.from_json,
     "ready": SuccessorReady.from_json,
 }
--- a/umberusher/hot_restart/peer.py
+++ b/umberusher/hot_restart/peer.py
@@ -16,6 +16,9 @@
     EndpointChange,
     EndpointSnapshot,
     Greeting,
+    IdClaim,
+    IdClaimAnswer,
+    IdReport,
     KeyClaim,
     KeyClaimAnswer,
     KeyRelease,
@@ -43,6 +46,10 @@
 """The first version of the messages that has claims on order keys."""
 
 
+ID_CLAIMS_VERSION = 4
+"""The first version of the messages that has claims on request ids."""
+
+
 class Peer:
     """Another process of this broker.
 
@@ -201,6 +208,15 @@
     def _on_key_release(self, message: KeyRelease) -> None:
         self._host.key_ownership.on_release(self, message)
 
+    def _on_id_claim(self, message: IdClaim) -> None:
+        self._host.request_ids.on_claim(self, message)
+
+    def _on_id_claim_answer(self, message: IdClaimAnswer) -> None:
+        self._host.request_ids.on_claim_answer(message)
+
+    def _on_id_report(self, message: IdReport) -> None:
+        self._host.request_ids.on_report(message)
+
     def _on_team_budgets(self, message: TeamBudgets) -> None:
         self._host.apply_team_budgets(message.state)
 
@@ -233,6 +249,9 @@
     KeyClaim: Peer._on_key_claim,
     KeyClaimAnswer: Peer._on_key_claim_answer,
     KeyRelease: Peer._on_key_release,
+    IdClaim: Peer._on_id_claim,
+    IdClaimAnswer: Peer._on_id_claim_answer,
+    IdReport: Peer._on_id_report,
     TeamBudgets: Peer._on_team_budgets,
     SuccessorReady: Peer._on_successor_ready,
 }
--- a/umberusher/pipeline/request_registry.py
+++ b/umberusher/pipeline/request_registry.py
@@ -175,6 +175,21 @@
         if request is not None and not request.is_open and request.attempt is None:
             del self.requests[event.request]
 
+    # -- Ids of non-idempotent requests
+
+    def may_have_run(self, request_id: str) -> bool:
+        """Return whether a request of this id is open or may have run."""
+        return request_id in self.requests or request_id in self.finished_ids
+
+    def remember(self, request_id: str) -> None:
+        """Remember the id of a non-idempotent request that runs in another process."""
+        self.finished_ids.add(request_id)
+
+    def known_ids(self) -> list[str]:
+        """Return the ids of non-idempotent requests that are open or remembered."""
+        open_ids = [each.request_id for each in self.requests.values() if each.non_idempotent]
+        return [*open_ids, *self.finished_ids]
+
     # -- Endings of attempts
 
     def end_attempt(
