Tell a new engine process from the one whose id or address it has

A keyed request could be repeated outside the scope in which its key is known.

Cause: an engine was its id and its address. An engine that was removed and came again, or whose announced start was later, kept its connections, its network delay and, known for an attempt in flight, all learned figures. An attempt took zone and cell from the engine as it is listed now.

Change: such an engine is another process. Its connections finish what they carry, its delay is forgotten, the decisions reset what they learned, and an attempt keeps the zone and cell to which it was sent. It works because identity is what the list says together with when the process began.

--- a/tests/decisions/test_eligibility.py
+++ b/tests/decisions/test_eligibility.py
@@ -67,6 +67,17 @@
     assert (len(of_type(bench.log, StartAttempt)) == 2) is allowed
 
 
+def test_keyed_request_stays_where_its_attempt_was_sent_when_the_engine_is_listed_elsewhere():
+    """An engine that came again in another zone took the attempts of the old one with it."""
+    bench = Bench(make_settings(keyed(DeduplicationScope.ZONE)), engines=1)
+    _, actions = bench.arrive("keyed", timeout_ms=9000)
+    bench.change("e0", zone="other")
+    bench.change("e9", zone="other")
+    bench.finish(of_type(actions, StartAttempt)[0], AttemptOutcome.RESET)
+    bench.run(1000)
+    assert len(of_type(bench.log, StartAttempt)) == 1
+
+
 def test_keyed_request_is_not_retried_after_its_deduplication_window():
     bench = Bench(make_settings(keyed(DeduplicationScope.ALL)))
     _, actions = bench.arrive("keyed", timeout_ms=9000)
--- a/tests/decisions/test_engine_pool.py
+++ b/tests/decisions/test_engine_pool.py
@@ -6,6 +6,7 @@
 
 from tests.decisions.bench import Bench, make_settings, of_type
 from umberusher.decisions.actions import StartAttempt
+from umberusher.decisions.events import EndpointState
 
 
 def count_sends(
@@ -58,3 +59,18 @@
             sends_of_broker[send.engine] += 1
             bench.finish(send)
     assert len(sends_of_broker) == 1024 and max(sends_of_broker.values()) < 5 * 12
+
+
+def test_engine_that_is_listed_again_starts_without_what_was_learned_of_the_one_that_has_gone():
+    """While an attempt was in flight, the removed engine stayed known with all its figures."""
+    bench = Bench(engines=1)
+    bench.arrive()
+    engine = bench.balancer.engines["e0"]
+    engine.consecutive_ejections = 3
+    engine.latency_factor = 5.0
+    engine.ejected_until = bench.now + 60_000
+    bench.change("e0", EndpointState.REMOVED)
+    bench.change("e0")
+    again = bench.balancer.engines["e0"]
+    assert (again.consecutive_ejections, again.latency_factor) == (0, 0.0)
+    assert again.ejected_until < bench.now and again.attempts_in_flight == 1
--- a/umberusher/deadlines/network_delay.py
+++ b/umberusher/deadlines/network_delay.py
@@ -116,6 +116,10 @@
             self.engines.pop(next(iter(self.engines)))
         self.engines[engine] = WindowedMin(MINIMUM_WINDOW_MS, at_ms, round_trip_ms)
 
+    def forget(self, engine: str) -> None:
+        """Forget the delay to an engine: another process or another machine has its id now."""
+        self.engines.pop(engine, None)
+
     def allowance_ms(self, engine: str) -> float:
         """Return an upper bound of the delay to an engine when no data precedes the request."""
         minimum = self.engines.get(engine)
--- a/umberusher/decisions/eligibility.py
+++ b/umberusher/decisions/eligibility.py
@@ -97,7 +97,7 @@
             return False
         scope = query_class.deduplication_scope
         if scope is DeduplicationScope.ZONE:
-            return engine.zone is not None and attempt.engine.zone == engine.zone
+            return engine.zone is not None and attempt.zone == engine.zone
         if scope is DeduplicationScope.CELL:
-            return engine.cell is not None and attempt.engine.cell == engine.cell
+            return engine.cell is not None and attempt.cell == engine.cell
         return True
--- a/umberusher/decisions/engine.py
+++ b/umberusher/decisions/engine.py
@@ -102,7 +102,9 @@
         self.up = entry.state is EndpointState.UP
         self.listed = entry.state is not EndpointState.REMOVED
 
-    def restart(self, started_ms: float, selection_probability: float, now_ms: float) -> None:
+    def restart(
+        self, started_ms: float | None, selection_probability: float, now_ms: float
+    ) -> None:
         """Forget what was learned of the previous incarnation; attempts in flight stay counted."""
         self.started_ms = started_ms
         self.selection_probability = selection_probability
--- a/umberusher/decisions/engine_pool.py
+++ b/umberusher/decisions/engine_pool.py
@@ -7,7 +7,7 @@
 from umberusher.decisions.arrival_rate import ArrivalRate
 from umberusher.decisions.control_sets import ControlSets
 from umberusher.decisions.engine import Engine
-from umberusher.decisions.events import EndpointListUpdate, EndpointUpdate
+from umberusher.decisions.events import EndpointListUpdate, EndpointState, EndpointUpdate
 from umberusher.decisions.settings import Settings
 
 # Requests to each engine of the subset within the keepalive time, so that no connection is closed
@@ -92,8 +92,13 @@
     def _restart_if_new(
         self, engine: Engine, entry: EndpointUpdate, probability: float, now_ms: float
     ) -> None:
-        """Reset the state of an engine if the list has a new incarnation of it."""
-        if entry.started_ms and entry.started_ms != engine.started_ms:
+        """Reset the state of an engine if the list has a new incarnation of it.
+
+        One that was removed, and is known only for its attempts in flight, is another one.
+        """
+        has_restarted = entry.started_ms and entry.started_ms != engine.started_ms
+        is_listed_again = not engine.listed and entry.state is not EndpointState.REMOVED
+        if has_restarted or is_listed_again:
             if not engine.in_subset:
                 probability = self._control_sets.min_probability
             engine.restart(entry.started_ms, probability, now_ms)
--- a/umberusher/decisions/request.py
+++ b/umberusher/decisions/request.py
@@ -16,9 +16,20 @@
         expected_ms: Its expected latency when it was sent.
         cancelled: Whether its cancellation has been requested.
         progress: Fraction done, by the engine's last progress report.
+        zone: The zone of its engine when it was sent; the engine may be listed elsewhere later.
+        cell: The cell of its engine when it was sent.
     """
 
-    __slots__ = ("cancelled", "engine", "expected_ms", "progress", "request", "sent_at")
+    __slots__ = (
+        "cancelled",
+        "cell",
+        "engine",
+        "expected_ms",
+        "progress",
+        "request",
+        "sent_at",
+        "zone",
+    )
 
     def __init__(self, request: Request, engine: Engine, now_ms: float, expected_ms: float) -> None:
         self.request = request
@@ -27,6 +38,8 @@
         self.expected_ms = expected_ms
         self.cancelled = False
         self.progress = 0.0
+        self.zone = engine.zone
+        self.cell = engine.cell
 
 
 class Request:
--- a/umberusher/endpoints/registry.py
+++ b/umberusher/endpoints/registry.py
@@ -170,15 +170,26 @@
             self._remove(entry.engine, changes)
             return
         self.removed_ids.discard(entry.engine)
+        is_other_process = self._is_other_process(entry)
         started_ms = self._to_timeline_ms(entry.started_ms) if entry.started_ms else 0.0
         address_changed = self.directory.put(entry, address, started_ms)
         slot = self.directory.slots[entry.engine]
         self._update_state(slot)
-        if address_changed:
+        if address_changed or is_other_process:
             self._on_moved(self.directory[entry.engine])
         if self.directory.states[slot] != STATE_UP:
             changes.closed.append(self.directory[entry.engine])
 
+    def _is_other_process(self, entry: EndpointUpdate) -> bool:
+        """Return whether an entry is of another process than the one last known by its id.
+
+        An engine that was removed and comes again is another one, at whatever address.
+        """
+        slot = self.directory.slots.get(entry.engine)
+        if slot is None:
+            return True
+        return bool(entry.started_ms) and entry.started_ms != self.directory.started_unix_ms[slot]
+
     def _remove(self, engine: str, changes: _AppliedChanges) -> None:
         if engine not in self.directory:
             return
--- a/umberusher/upstream/upstream.py
+++ b/umberusher/upstream/upstream.py
@@ -82,6 +82,7 @@
         They are marked first: a withdrawn request is sent again at once, and must not be sent on
         them.
         """
+        self.context.network_delays.forget(endpoint.engine)
         for connection in self.pool.connections_to(endpoint.engine):
             connection.superseded = True
         self._withdraw_from_engine(endpoint)
