Write nothing more of a request that is given up while partly written

Cause: where the connection carries another load it can't be closed, and the table of dispositions had the rest written with a STOP behind it, which starts the work that it gives up. Evidence: in the test the engine reads all, and the load arrived whole with the STOP behind it; so the STOP was not late.

Change: nothing more is written on that connection. What it carries besides is read to its end, requests that wait behind go elsewhere, and it is closed once it carries nothing. It works because the last byte is never written, which also proves that the request never ran. The row of test_disposition.py demanded the rest and the STOP; it demands the held output now, as strict.

--- a/tests/deadlines/test_disposition.py
+++ b/tests/deadlines/test_disposition.py
@@ -18,7 +18,7 @@
         (ByteLocation.QUEUED, True, SendAction.WITHDRAW, ExecutionProof.NEVER_RAN),
         (ByteLocation.QUEUED, False, SendAction.WITHDRAW, ExecutionProof.NEVER_RAN),
         (ByteLocation.PARTLY_WRITTEN, True, SendAction.CLOSE_CONNECTION, ExecutionProof.NEVER_RAN),
-        (ByteLocation.PARTLY_WRITTEN, False, SendAction.SEND_STOP, ExecutionProof.MAY_HAVE_RUN),
+        (ByteLocation.PARTLY_WRITTEN, False, SendAction.HOLD_OUTPUT, ExecutionProof.NEVER_RAN),
         (ByteLocation.IN_KERNEL, True, SendAction.CLOSE_CONNECTION, ExecutionProof.MAY_HAVE_RUN),
         (ByteLocation.IN_KERNEL, False, SendAction.SEND_STOP, ExecutionProof.MAY_HAVE_RUN),
         (ByteLocation.AT_ENGINE, True, SendAction.SEND_STOP, ExecutionProof.MAY_HAVE_RUN),
--- a/umberusher/deadlines/disposition.py
+++ b/umberusher/deadlines/disposition.py
@@ -38,6 +38,9 @@
     CLOSE_CONNECTION = auto()
     """Close the connection, so that the engine does not receive the remaining bytes."""
 
+    HOLD_OUTPUT = auto()
+    """Write nothing more on the connection, and close it once it carries nothing else."""
+
     SEND_STOP = auto()
     """Write STOP after the request, once."""
 
@@ -62,6 +65,7 @@
 
 _WITHDRAW = Disposition(SendAction.WITHDRAW, ExecutionProof.NEVER_RAN)
 _CLOSE_BEFORE_LAST_BYTE = Disposition(SendAction.CLOSE_CONNECTION, ExecutionProof.NEVER_RAN)
+_HOLD_BEFORE_LAST_BYTE = Disposition(SendAction.HOLD_OUTPUT, ExecutionProof.NEVER_RAN)
 _CLOSE_AFTER_LAST_BYTE = Disposition(SendAction.CLOSE_CONNECTION, ExecutionProof.MAY_HAVE_RUN)
 _STOP = Disposition(SendAction.SEND_STOP, ExecutionProof.MAY_HAVE_RUN)
 _END = Disposition(SendAction.SEND_END, ExecutionProof.MAY_HAVE_RUN)
@@ -74,8 +78,9 @@
 
     A passed deadline and a disconnected client are treated alike: nobody reads the response. A
     connection is not closed where that would end other attempts: their clients still wait, and the
-    result of a non-idempotent one would stay unknown. Once the kernel has all bytes, a close proves
-    nothing: the remote host may receive the last ones at that moment.
+    result of a non-idempotent one would stay unknown. A request that is partly written must not
+    arrive whole all the same, so nothing more is written there. Once the kernel has all bytes, a
+    close proves nothing: the remote host may receive the last ones at that moment.
 
     Args:
         location: Where the bytes of the attempt are.
@@ -88,7 +93,7 @@
     if location is ByteLocation.QUEUED:
         return _WITHDRAW
     if location is ByteLocation.PARTLY_WRITTEN:
-        return _CLOSE_BEFORE_LAST_BYTE if is_exclusive else _STOP
+        return _CLOSE_BEFORE_LAST_BYTE if is_exclusive else _HOLD_BEFORE_LAST_BYTE
     if location is ByteLocation.RESPONSE_STARTED:
         return _END
     if unresponsive or (is_exclusive and location is ByteLocation.IN_KERNEL):
--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -123,6 +123,7 @@
         write_blocked_since_s: The loop's time since which the kernel accepts no bytes; None while
             it accepts all.
         reading_paused: Whether the owner reads no input for now.
+        output_held: Whether nothing more is written; the connection is only read and closed.
         awaits_memory: Whether reading waits for the owner's memory.
         awaits_turn: Whether reading waits until the owner has processed what it has left.
         on_connected: The peer has accepted the connection; nothing is written before this returns.
@@ -151,6 +152,7 @@
         "on_released",
         "outbound",
         "outbox",
+        "output_held",
         "reading_paused",
         "sent_bytes",
         "sock",
@@ -185,6 +187,7 @@
         self.outbox: deque[Message] | tuple[()] = EMPTY_OUTBOX
         self.writing: Message | None = None
         self.reading_paused = False
+        self.output_held = False
         self.awaits_memory = False
         self.awaits_turn = False
         self.sent_bytes = 0
@@ -216,6 +219,11 @@
             self._flush()
             self._update_watch()
 
+    def hold_output(self) -> None:
+        """Write nothing more, not even the rest of a message, until the connection closes."""
+        self.output_held = True
+        self._update_watch()
+
     def withdraw(self, message: Message) -> bool:
         """Remove a message whose writing has not begun; return whether it was removed.
 
@@ -424,7 +432,7 @@
         else:
             # A full ring can't be read into, so the end of input is detected by EPOLLRDHUP instead.
             events = READ_CLOSED
-        if self.writing is None and not self.outbox:
+        if self.output_held or (self.writing is None and not self.outbox):
             return events
         return events | WRITE
 
@@ -493,7 +501,7 @@
         message at a time.
         """
         try:
-            while self.state in (OPEN, CLOSING):
+            while self.state in (OPEN, CLOSING) and not self.output_held:
                 if self.outbound.size:
                     count = self.outbound.send_to(self.sock)
                 elif self.writing is not None:
--- a/umberusher/upstream/attempts.py
+++ b/umberusher/upstream/attempts.py
@@ -177,6 +177,9 @@
             # The close fails the attempt as partly written, and such an attempt never ran.
             connection.transport.abort("request given up while partly written")
             return
+        if disposition.action is SendAction.HOLD_OUTPUT:
+            self._hold_output(connection, attempt)
+            return
         connection.release(attempt)
         if closes:
             self._record_abandoned_work(attempt, outcome, stopped=True)
@@ -196,6 +199,21 @@
             self._record_abandoned_work(attempt, outcome, stopped=False)
             registry.end_attempt(attempt, outcome)
 
+    def _hold_output(self, connection: EngineConnection, attempt: Attempt) -> None:
+        """End an attempt whose rest is not written, and those that wait behind it.
+
+        The connection carries others, whose results are still read from it.
+        """
+        connection.transport.hold_output()
+        connection.release(attempt)
+        registry = self._context.registry
+        if attempt.request.is_open:
+            failure = AttemptFailure(SendProgress.PARTLY_WRITTEN, "given up while partly written")
+            registry.fail_attempt(attempt, failure)
+        else:
+            registry.end_attempt(attempt, AttemptOutcome.WITHDRAWN)
+        self.withdraw_queued(connection)
+
     def _record_abandoned_work(
         self, attempt: Attempt, outcome: AttemptOutcome, stopped: bool
     ) -> None:
--- a/umberusher/upstream/channel.py
+++ b/umberusher/upstream/channel.py
@@ -28,6 +28,9 @@
     def write(self, command: bytes) -> None:
         """Queue one command."""
 
+    def fetch_page(self, request_id: str, number: int) -> None:
+        """Request a further page of a result."""
+
     def record_round_trip(self, sent_ms: float) -> None:
         """Record that the answer to a command written at ``sent_ms`` has just arrived."""
 
--- a/umberusher/upstream/connection_pool.py
+++ b/umberusher/upstream/connection_pool.py
@@ -163,7 +163,8 @@
         """Close the idle connections that will not be used again."""
         now_ms = self._context.now_ms()
         for each in self._all_connections():
-            if each.is_expiring(now_ms) or not self._context.endpoints.is_available(each.engine):
+            is_available = self._context.endpoints.is_available(each.engine)
+            if each.transport.output_held or each.is_expiring(now_ms) or not is_available:
                 each.close_if_idle()
 
     def silent_connections(self, engine: str, silent_since_ms: float) -> list[EngineConnection]:
--- a/umberusher/upstream/engine_connection.py
+++ b/umberusher/upstream/engine_connection.py
@@ -130,6 +130,7 @@
             return False
         return (
             not self.superseded
+            and not self.transport.output_held
             and len(self.attempts) < self._context.settings.max_attempts_per_connection
             and request_id not in self.attempts
             and request_id not in self.abandoned_ids
@@ -208,8 +209,16 @@
         return ByteLocation.AT_ENGINE
 
     def write(self, command: bytes) -> None:
-        """Queue one command."""
-        self.transport.send(RawMessage(command))
+        """Queue one command; drop it if the connection is written no more."""
+        if not self.transport.output_held:
+            self.transport.send(RawMessage(command))
+
+    def fetch_page(self, request_id: str, number: int) -> None:
+        """Request a further page of a result; without it the result can't be completed."""
+        if self.transport.output_held:
+            self.transport.abort("a page can't be requested behind a partly written request")
+            return
+        self.write(codec.fetch_page(request_id, number))
 
     # -- State
 
@@ -257,7 +266,10 @@
         """Close the connection if it carries nothing; return whether it was closed."""
         if self.attempts or self.health_checks:
             return False
-        self.transport.close("idle")
+        if self.transport.output_held:
+            self.transport.abort("a request given up here is partly written")
+        else:
+            self.transport.close("idle")
         return True
 
     # -- Callbacks of the transport
--- a/umberusher/upstream/result_collector.py
+++ b/umberusher/upstream/result_collector.py
@@ -123,7 +123,7 @@
             return
         # All pages are requested at once, since each would cost a round trip one by one.
         for number in range(1, page_count):
-            channel.write(codec.fetch_page(attempt.request.request_id, number))
+            channel.fetch_page(attempt.request.request_id, number)
 
     def _add_further_page(
         self, channel: EngineChannel, attempt: Attempt, reply: codec.Reply
