Answer checks of clients that shut down their side; charge below the pressure bound

Since the hang-up ends a client's connection at once, a check that was written with the end behind it got no answer, which it had before. One turn of input is processed first; calls for engines are withdrawn by the close before they are begun, as test_client_gone.py holds, which has a test of the check now.

Memory for peers ends at 72% of the limit, below the 75% from which all clients' requests are rejected: who holds much costs no other its requests.

A connection that another process has got releases its buffers in the account, and an id that was never listed needs no look at its connections.

--- a/tests/frontend/test_client_gone.py
+++ b/tests/frontend/test_client_gone.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import socket
+import struct
 
 from tests.client_calls import execute_call, newest_client_connection
 from umberusher.net.timed_connection import TimedConnection
@@ -43,3 +44,13 @@
     client.sock.send(execute_call(5))
     client.sock.close()
     rig.until(lambda: request.response_sink.read_pending() or not request.is_open)
+
+
+def test_check_of_a_client_that_has_shut_down_its_side_is_answered(rig):
+    rig = rig()
+    client = rig.client()
+    client.sock.send(struct.pack(">iIi5siB", 18, 0x80010001, 5, b"check", 1, 0))
+    client.sock.shutdown(socket.SHUT_WR)
+    rig.until(lambda: b"check" in client.read())
+    rig.until(lambda: client.read() and client.ended)
+    assert not rig.broker.frontend.clients
--- a/umberusher/broker/memory_pressure.py
+++ b/umberusher/broker/memory_pressure.py
@@ -19,9 +19,10 @@
 FULL_FRACTION = 0.92
 """Fraction of the memory limit above which no request is admitted."""
 
-ACCOUNT_FRACTION = 0.85
-"""Fraction of the memory limit up to which memory is charged to peers. The rest is for copies that
-exist while one message is processed, and for what the allocator loses."""
+ACCOUNT_FRACTION = 0.72
+"""Fraction of the memory limit up to which memory is charged to peers: less than
+``PRESSURE_FRACTION``, so that clients that hold much have no other client's requests rejected. The
+rest is for copies that exist while one message is processed, and for what the allocator loses."""
 
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 BYTES_PER_MB = 1e6
--- a/umberusher/endpoints/registry.py
+++ b/umberusher/endpoints/registry.py
@@ -169,8 +169,8 @@
             self.remember_removed(entry.engine)
             self._remove(entry.engine, changes)
             return
-        self.removed_ids.discard(entry.engine)
         is_other_process = self._is_other_process(entry)
+        self.removed_ids.discard(entry.engine)
         started_ms = self._to_timeline_ms(entry.started_ms) if entry.started_ms else 0.0
         address_changed = self.directory.put(entry, address, started_ms)
         slot = self.directory.slots[entry.engine]
@@ -187,7 +187,7 @@
         """
         slot = self.directory.slots.get(entry.engine)
         if slot is None:
-            return True
+            return entry.engine in self.removed_ids
         return bool(entry.started_ms) and entry.started_ms != self.directory.started_unix_ms[slot]
 
     def _remove(self, engine: str, changes: _AppliedChanges) -> None:
--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -368,6 +368,8 @@
         self.state = CLOSED
         self.loop.unregister(self.fd)
         self.sock.close()
+        self.inbound.drop()
+        self.outbound.drop()
 
     # -- The coroutine
 
--- a/umberusher/net/timed_connection.py
+++ b/umberusher/net/timed_connection.py
@@ -118,7 +118,14 @@
                 self._on_hung_up()
 
     def _on_hung_up(self) -> None:
-        """Close; what the kernel still holds is dropped, so that the close causes no reset."""
+        """Process one turn of input and close; the rest is dropped, so that nothing is reset.
+
+        Calls that an engine would have to serve are withdrawn by the close before they are begun.
+        """
+        if self._can_read():
+            self._read()
+        if self.state is not State.OPEN:
+            return
         if self.has_unread_input():
             self.close_gracefully("ended by the other side with unread input")
         else:
