Hold less memory for idle connections

The usage of a client was created for its first check, small holders were entered in the account's list, and the sum of unwritten answers had a field of its own.

Usage is counted for turns that were used up, not for each frame; only holders of more than 16 KB are entered, which are those that are ever called on; the unwritten answers are found in the outbox.

--- a/umberusher/frontend/client_connection.py
+++ b/umberusher/frontend/client_connection.py
@@ -15,7 +15,7 @@
 from umberusher.frontend.call_decoder import CALL_FIELDS
 from umberusher.frontend.call_queue import Arrival, CallQueue, PendingCall
 from umberusher.frontend.client_usage import (
-    OTHER_FRAME_UNITS,
+    FULL_TURN_UNITS,
     UNSERVED_CALL_UNITS,
     ClientUsage,
 )
@@ -114,7 +114,8 @@
         """Release its memory, and resume what waited for it to be written."""
         self.is_written = True
         if self.held_bytes:
-            self._client.release_answer(self.held_bytes)
+            self._client.release(self.held_bytes)
+            self.held_bytes = 0
         self._client.resume_deferred()
 
 
@@ -145,7 +146,6 @@
         "_queued_count",
         "_resume_planned",
         "_skip_bytes",
-        "_unwritten_bytes",
         "active_ms",
         "connection",
         "deferred_calls",
@@ -167,9 +167,8 @@
         self._pending_count = 0
         self._queued_count = 0
         self._resume_planned = False
-        # Bytes of a rejected call that have not arrived yet, and memory of unwritten answers.
+        # Bytes of a rejected call that have not arrived yet.
         self._skip_bytes = 0
-        self._unwritten_bytes = 0
         self.held_bytes = 0
         self.connection = connection
         connection.charge_to(self)
@@ -228,6 +227,7 @@
                 self.connection.awaits_memory = True
                 return
             elif self.connection.turn_units <= 0 and self._has_frame():
+                self.count_usage(FULL_TURN_UNITS)
                 self._leave_input()
                 self._plan_resume()
                 return
@@ -250,8 +250,6 @@
             return
         self.connection.turn_units -= 1 + len(frame) // BYTES_PER_TURN_UNIT
         call = thrift.decode_call(frame, CALL_FIELDS)
-        if not isinstance(call, thrift.Execute):
-            self.count_usage(OTHER_FRAME_UNITS)
         if isinstance(call, thrift.Interrupt):
             self._interrupt(call.target)
         elif self.write_blocked:
@@ -436,18 +434,14 @@
         self.connection.send(message)
         if not message.is_written and self.connection.state is not State.CLOSED:
             message.held_bytes = len(data) + ANSWER_OVERHEAD_BYTES
-            self._unwritten_bytes += message.held_bytes
             self.charge(message.held_bytes)
 
-    def release_answer(self, held_bytes: int) -> None:
-        """Release the memory of an answer that was written."""
-        self._unwritten_bytes -= held_bytes
-        self.release(held_bytes)
-
     def release_answers(self) -> None:
         """Release the memory of the answers that a closed connection has not written."""
-        self.release(self._unwritten_bytes)
-        self._unwritten_bytes = 0
+        for message in (*self.connection.outbox, self.connection.writing):
+            if isinstance(message, AnswerMessage):
+                self.release(message.held_bytes)
+                message.held_bytes = 0
 
     def earn_retry_credit(self) -> None:
         """Count a call that was served for the retry credit."""
@@ -525,7 +519,7 @@
         """
         if self._reject_queued_calls() or self._reject_unread_calls():
             return True
-        if self._unwritten_bytes and self.connection.is_write_stalled():
+        if not self.connection.is_flushed and self.connection.is_write_stalled():
             log.warning("client_closed reason=unread_answers held_bytes=%d", self.held_bytes)
             self.connection.close(CloseReason.UNREAD_ANSWERS)
             return True
--- a/umberusher/frontend/client_usage.py
+++ b/umberusher/frontend/client_usage.py
@@ -7,8 +7,8 @@
 LEVEL_UNITS = 512
 # One unit is the time to read one token of a statement. A call that ends without a result:
 UNSERVED_CALL_UNITS = 64
-# A frame that is no request:
-OTHER_FRAME_UNITS = 8
+# A turn in which a connection had more frames than it may process:
+FULL_TURN_UNITS = 256
 
 
 class ClientUsage:
--- a/umberusher/net/memory_account.py
+++ b/umberusher/net/memory_account.py
@@ -23,6 +23,10 @@
 RELIEF_FRACTION = 1 / 16
 
 
+# A holder of no more than this is never called on: nearly all clients, for nearly all of the time.
+SMALL_HOLDER_BYTES = 1 << 14
+
+
 class MemoryHolder(Protocol):
     """A connection, or a group of them, that memory is charged to.
 
@@ -59,6 +63,7 @@
         "_headroom_bytes",
         "_holders",
         "_max_bytes",
+        "_small_bytes",
         "_waiting",
         "is_pending",
         "is_short",
@@ -68,13 +73,17 @@
         "used_bytes",
     )
 
-    def __init__(self, headroom_bytes: Callable[[], float]) -> None:
+    def __init__(
+        self, headroom_bytes: Callable[[], float], small_bytes: int = SMALL_HOLDER_BYTES
+    ) -> None:
         """Create an empty account.
 
         Args:
             headroom_bytes: Returns how much more memory the process may allocate; negative if it
                 holds too much.
+            small_bytes: A holder of no more than this is never called on.
         """
+        self._small_bytes = small_bytes
         self._headroom_bytes = headroom_bytes
         self._max_bytes = max(headroom_bytes(), 0.0)
         self._holders: dict[MemoryHolder, None] = {}
@@ -115,9 +124,10 @@
         used_bytes = self.used_bytes + size_bytes
         if used_bytes > self._checked_bytes and self._exceeds_limit(used_bytes):
             self.is_pending = True
-        if not holder.held_bytes:
+        held_bytes = holder.held_bytes + size_bytes
+        holder.held_bytes = held_bytes
+        if held_bytes > self._small_bytes:
             self._holders[holder] = None
-        holder.held_bytes += size_bytes
         self.used_bytes = used_bytes
         if used_bytes > self.peak_bytes:
             self.peak_bytes = used_bytes
@@ -128,7 +138,7 @@
             size_bytes = holder.held_bytes
         holder.held_bytes -= size_bytes
         self.used_bytes -= size_bytes
-        if not holder.held_bytes:
+        if holder.held_bytes <= self._small_bytes < holder.held_bytes + size_bytes:
             self._holders.pop(holder, None)
         if self._waiting:
             self.is_pending = True
@@ -180,7 +190,9 @@
         A holder that releases nothing is not called on again, and one that holds less than an equal
         share of the limit is spared: it has not caused the shortage.
         """
-        share_bytes = self.limit_bytes / max(len(self._holders), 1)
+        large_bytes = sum(each.held_bytes for each in self._holders)
+        small_bytes = self.used_bytes - large_bytes
+        share_bytes = (self.limit_bytes - small_bytes) / max(len(self._holders), 1)
         target_bytes = self.limit_bytes * (1 - RELIEF_FRACTION) - needed_bytes
         serials = itertools.count()
         largest_first = [
