Read a connection that its owner has paused as before when it ends

One field of bits for the reasons not to read had put the owner's pause, which the stand-in engine alone uses, with the two others, so that the end of a paused connection closed it unread.

--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -54,12 +54,13 @@
 # The members as module globals: a look-up through the class costs five times as much, and each
 # event needs a dozen of them.
 CONNECTING, OPEN, CLOSING, CLOSED = State
-# Why a connection is not read: its owner wants nothing, the memory has no room, or the owner
-# has left input to be processed in a later turn.
+# Its owner reads no input for now, nor wants to know of the end.
 HOLD_BY_OWNER = 1
+# It is not read, but its end is noticed: the owner's memory has no room, or the owner has left
+# input to be processed in a later turn.
 HOLD_FOR_MEMORY = 2
 HOLD_FOR_TURN = 4
-HOLD_READING = HOLD_BY_OWNER | HOLD_FOR_MEMORY | HOLD_FOR_TURN
+HOLD_READING = HOLD_FOR_MEMORY | HOLD_FOR_TURN
 # Nothing more is written, not even the rest of a message: it is only read and closed.
 HOLD_OUTPUT = 8
 # The outbox of a connection that has nothing to write.
@@ -294,7 +295,7 @@
     def read_pending(self) -> None:
         """Read and process input that the kernel holds now, before the loop reports it."""
         for _ in range(MAX_PENDING_READS):
-            if self.state is not OPEN or self._in_hook:
+            if self.state is not OPEN or self._in_hook or self.holds & HOLD_BY_OWNER:
                 break
             if not self._can_read() or not self._read():
                 break
