Log each poll, applied list, attempt, rejection and close with its reason

Nothing in the log told whether a poll was sent, answered or given up, which revision was in force at a send, or why a connection ended.

--- a/tests/commands/test_log_filter.py
+++ b/tests/commands/test_log_filter.py
@@ -36,3 +36,15 @@
     passed = [rate_filter.filter(record) for _ in range(log_filter.MAX_LINES_PER_S + 5)]
     assert all(passed)
     assert record.msg is fields
+
+
+def test_filter_keeps_every_line_of_a_level_that_was_asked_for_as_evidence():
+    passed_lines = []
+    handler = logging.Handler()
+    handler.emit = lambda record: passed_lines.append(record.getMessage())
+    handler.addFilter(log_filter.LogRateFilter(lambda: 0.0))
+    log = logging.Logger("test", logging.DEBUG)
+    log.addHandler(handler)
+    for number in range(2 * log_filter.MAX_LINES_PER_S):
+        log.debug("attempt_started request=%d", number)
+    assert len(passed_lines) == 2 * log_filter.MAX_LINES_PER_S
--- a/umberusher/commands/log_filter.py
+++ b/umberusher/commands/log_filter.py
@@ -27,6 +27,9 @@
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Return whether the line is written; append the number of suppressed lines before it."""
+        if record.levelno <= logging.DEBUG:
+            # Asked for explicitly, as evidence: a missing line would be taken for a missing event.
+            return True
         event = record.msg
         if not isinstance(event, str):
             # An event with fields, as --log-format writes them; each one must be logged.
--- a/umberusher/discovery/client.py
+++ b/umberusher/discovery/client.py
@@ -222,6 +222,12 @@
         self.state = DiscoveryState.POLLING
         self._polled_at_s = self.loop.clock()
         conn.inbound.release()
+        log.debug(
+            "watch_polled revision=%d linger_ms=%d answer_timeout_ms=%d",
+            self.known_revision(),
+            self._linger_ms,
+            self.answer_timeout_ms,
+        )
         conn.send(RawMessage(self.poll_client.poll(self.known_revision(), self._linger_ms)))
         self._await_answer()
 
@@ -245,6 +251,12 @@
         elif self.connection is not None:
             # A service that is slower than the timeout would otherwise be polled again and again,
             # and none of its answers awaited.
+            log.info(
+                "watch_given_up known_revision=%d after_ms=%d answer_timeout_ms=%d",
+                self.known_revision(),
+                self._elapsed_ms(),
+                self.answer_timeout_ms,
+            )
             self.answer_timeout_ms = min(2 * self.answer_timeout_ms, MAX_ANSWER_TIMEOUT_MS)
             self.connection.close(SILENT)
 
@@ -306,7 +318,18 @@
         self._linger_ms = FIRST_POLL_LINGER_MS
         self._back_off(self.backoff.after_unusable_answer(costly), self.start)
 
+    def _elapsed_ms(self) -> float:
+        """Return the time since the last poll was sent; news in its answer is at most this old."""
+        return (self.loop.clock() - self._polled_at_s) * 1000
+
     def _on_answer(self, answer: PollAnswer) -> None:
+        log.debug(
+            "watch_answered revision=%s known_revision=%d events=%d after_ms=%d",
+            answer.revision,
+            self.known_revision(),
+            len(answer.events),
+            self._elapsed_ms(),
+        )
         if not answer.events:
             self._follow_delay()
         early = not answer.events and self._answered_early()
--- a/umberusher/endpoints/registry.py
+++ b/umberusher/endpoints/registry.py
@@ -152,6 +152,13 @@
         # The decisions are notified before requests are withdrawn from closed engines: otherwise
         # they would retry on the same engines.
         self._publish(changes, event.complete)
+        log.debug(
+            "list_applied revision=%d previous_revision=%d complete=%s closed=%d",
+            event.revision,
+            previous_revision,
+            event.complete,
+            len(changes.closed),
+        )
         for endpoint in changes.closed:
             self._on_closed(endpoint)
         self._on_watch_event(event, previous_revision)
--- a/umberusher/frontend/client_connection.py
+++ b/umberusher/frontend/client_connection.py
@@ -616,13 +616,21 @@
 
     # -- End
 
-    def _on_closed(self, _reason: str) -> None:
+    def _on_closed(self, reason: str) -> None:
         self._frontend.remove_client(self)
         self._frontend.memory.stop_waiting(self)
         self._release_deferred_calls()
         if self.connection.state is State.CLOSED:
             self.release_answers()
         disconnected = list(self.open_calls.values())
+        if log.isEnabledFor(logging.DEBUG):
+            open_ids = [each.request_id for each in disconnected if isinstance(each, Request)]
+            log.debug(
+                "client_connection_closed reason=%s open_calls=%d requests=%s",
+                reason,
+                len(disconnected),
+                ",".join(open_ids),
+            )
         self.open_calls = NO_OPEN_CALLS
         for call in disconnected:
             self._disconnect(call)
--- a/umberusher/frontend/thrift_frontend.py
+++ b/umberusher/frontend/thrift_frontend.py
@@ -257,6 +257,7 @@
             client = self._find_evictable()
             if client is None:
                 return False
+            log.info("client_evicted clients=%d reason=descriptors", len(self.clients))
             client.connection.close_gracefully("evicted")
         if len(self.closing) > MAX_EXTRA_CLOSING:
             oldest = next(iter(self.closing))
--- a/umberusher/pipeline/admission.py
+++ b/umberusher/pipeline/admission.py
@@ -99,13 +99,25 @@
             or self._clock() > self.closes_at_s
             or len(open_requests) >= self._max_open_requests
         ):
-            log.warning("request_rejected reason=broker_limits")
+            log.warning(
+                "request_rejected reason=broker_limits limit=%s request=%s",
+                self._limit_reached(),
+                request.request_id,
+            )
             self.registry.close(request, FinalOutcome.REJECTED)
             request.response_sink.send_rejection(self.retry_after_ms)
         elif self._contracts is None or self._admitted_by_contract(self._contracts, request):
             open_requests[request.request_id] = request
             self._post(request.arrival)
 
+    def _limit_reached(self) -> str:
+        """Return the name of the limit for which requests are rejected now."""
+        if self.memory_pressure:
+            return "memory_pressure"
+        if self._clock() > self.closes_at_s:
+            return "shutting_down"
+        return "too_many_open_requests"
+
     def fail_repeated(self, request: Request) -> None:
         """Fail a request whose id comes again after it may have run."""
         log.warning("request_id_may_have_run request=%s", request.request_id)
@@ -117,12 +129,13 @@
         try:
             rejection = contracts.admit(request)
         except NotCoveredError as error:
-            log.warning("request_not_covered reason=%r", str(error))
+            log.warning("request_not_covered request=%s reason=%r", request.request_id, str(error))
             self.registry.close(request, FinalOutcome.FAILED)
             request.response_sink.send_failure(str(error))
             return False
         if rejection is None:
             return True
+        log.debug("request_rejected reason=contract request=%s", request.request_id)
         retry_after_ms = self.retry_after_ms
         if retry_after_ms is not None:
             retry_after_ms = min(rejection.retry_after_ms, retry_after_ms)
--- a/umberusher/pipeline/request_registry.py
+++ b/umberusher/pipeline/request_registry.py
@@ -154,12 +154,21 @@
         """Carry out the decisions' rejection of a request."""
         request = self.requests.pop(action.request, None)
         if request is not None and self.close(request, FinalOutcome.REJECTED):
+            log.debug(
+                "request_rejected request=%s retry_after_ms=%s attempts=%d",
+                action.request,
+                action.retry_after_ms,
+                request.attempt_count,
+            )
             request.response_sink.send_rejection(action.retry_after_ms)
 
     def fail(self, action: FailRequest) -> None:
         """Carry out the decisions' failure of a request."""
         request = self.requests.pop(action.request, None)
         if request is not None and self.close(request, FinalOutcome.FAILED):
+            log.debug(
+                "request_failed request=%s attempts=%d", action.request, request.attempt_count
+            )
             request.response_sink.send_failure("failed")
 
     def discard_closed(self, event: Event) -> None:
@@ -227,6 +236,14 @@
         if self.account.emit_event is not None and request.is_open:
             self._deadlines.attempt_ended(attempt)
         self.attempt_outcomes[outcome] += 1
+        log.debug(
+            "attempt_ended request=%s attempt=%d engine=%s outcome=%s progress=%s",
+            request.request_id,
+            attempt.number,
+            attempt.engine,
+            outcome,
+            attempt.progress,
+        )
         self.post(
             AttemptEnded(
                 request.request_id,
--- a/umberusher/upstream/attempts.py
+++ b/umberusher/upstream/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import Counter
 
 from umberusher.deadlines.budget import BudgetExhausted
@@ -26,6 +27,8 @@
 from umberusher.upstream.outgoing_request import OutgoingRequest, read_client_input
 from umberusher.upstream.remaining_time import RemainingTime
 
+log = logging.getLogger(__name__)
+
 # Engines assume this priority for a request that names none.
 DEFAULT_PRIORITY = 1
 _SENT = (SendProgress.PARTLY_WRITTEN, SendProgress.FULLY_SENT)
@@ -63,6 +66,13 @@
             timeout_at_ms = min(timeout_at_ms, now_ms + timeout_ms)
         attempt = Attempt(request, request.attempt_count, engine, now_ms, timeout_at_ms)
         request.attempt_count += 1
+        log.debug(
+            "attempt_started request=%s attempt=%d engine=%s timeout_ms=%s",
+            request.request_id,
+            attempt.number,
+            engine,
+            timeout_ms,
+        )
         read_client_input(self._context, request)
         if not request.is_open:
             registry.end_attempt(attempt, AttemptOutcome.WITHDRAWN)
--- a/umberusher/upstream/engine_connection.py
+++ b/umberusher/upstream/engine_connection.py
@@ -329,6 +329,13 @@
     def _closed(self, reason: str) -> None:
         self._connect_timer.cancel()
         self._on_closed(self)
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug(
+                "engine_connection_closed engine=%s reason=%r requests=%s",
+                self.engine,
+                reason,
+                ",".join(self.attempts),
+            )
         for attempt in list(self.attempts.values()):
             failure = AttemptFailure(attempt.progress, reason, len(attempt.pages))
             self._context.registry.fail_attempt(attempt, failure)
