Read pending news before any work goes out after the process was suspended

Cause, three places of one class (work goes out before what is already in the socket is read): - the discovery connection was read in the order in which the kernel reported it, behind clients; - a wait that a stop has interrupted returns no events although input is pending (Python keeps the deadline of the wait and does not poll again), so the due timers ran first; - a stop between the decision and the write of a request is not noticed at all.

Change: watches are prioritized descriptors. The loop polls again after a late wait, and calls on_stall before anything else; the encoding of a request checks for a stall as well, reads the watches, and drops the request of an engine that accepts nothing new (it is retried elsewhere).

--- a/umberusher/broker/broker.py
+++ b/umberusher/broker/broker.py
@@ -146,6 +146,7 @@
             Random(f"{config.seed:x} {config.name}"),
             SharedMemory(self.memory),
         )
+        self.loop.on_stall = self.discovery.catch_up
         self.readiness = Readiness(
             self.loop.clock, self.endpoints, self.discovery, self.balancer, self._shutdown_request
         )
--- a/umberusher/discovery/client.py
+++ b/umberusher/discovery/client.py
@@ -48,6 +48,10 @@
 ANSWER_TIMEOUT_MS = 4_500.0
 # Bounds descriptors and memory while no watch answers.
 MAX_WATCHES = 4
+# After a longer stall, changes may count as announced of which no answer tells yet. They are polled
+# for before other work, for at most this time.
+MIN_REFRESHED_STALL_S = 1.0
+MAX_REFRESH_MS = 50.0
 # Minimum fraction of a wait after jitter: brokers that lost their connections at the same time must
 # not reconnect at the same time.
 MIN_JITTER_FRACTION = 0.5
@@ -118,6 +122,8 @@
         self._opened_count = 0
         # Watches that were opened because an answer was overdue, since the last answer.
         self._unanswered_hedges = 0
+        self._answer_count = 0
+        self._is_refreshing = False  # the next poll has to be answered soon
         self._timer: Timer | None = None  # opens the next watch, or polls after a pause
         self._logged_causes: set[str] = set()
 
@@ -148,6 +154,8 @@
             return
         self.state = DiscoveryState.CONNECTING
         self.watches.append(watch)
+        # News must not wait behind the input of clients, which may have to be sent elsewhere by it.
+        self.loop.prioritize(watch.connection.fd)
         self._await_answer()
         watch.serve()
 
@@ -295,6 +303,7 @@
         )
         superseded = self._is_superseded(watch)
         self.has_answered = True
+        self._answer_count += 1
         self._unanswered_hedges = 0
         watch.has_answered = True
         self.backoff.answer_received()
@@ -330,12 +339,55 @@
         self._warn_once(reason, "discovery_connection_failed reason=%r", reason)
         self._back_off(self.backoff.after_failed_connection(), self.start)
 
+    # -- Stalls
+
+    def catch_up(self, stalled_s: float, may_wait: bool) -> None:
+        """Apply the news that arrived while the process was suspended.
+
+        Args:
+            stalled_s: How long it may have been suspended.
+            may_wait: Whether the loop may wait for the answer to a new poll.
+        """
+        answers_before = self._answer_count
+        self._is_refreshing = may_wait and stalled_s >= MIN_REFRESHED_STALL_S
+        try:
+            for watch in list(self.watches):
+                watch.connection.read_pending()
+            if self._is_refreshing:
+                self._refresh(answered=self._answer_count > answers_before)
+        finally:
+            self._is_refreshing = False
+
+    def _refresh(self, answered: bool) -> None:
+        """Wait for the answer to a poll that was sent after a stall, for a bounded time.
+
+        Args:
+            answered: Whether a watch was answered during the stall and polled again after it.
+        """
+        if self.state in (DiscoveryState.IDLE, DiscoveryState.CLOSED):
+            return
+        if not answered:
+            if self._awaits_answer_in_time():
+                return
+            self.start()
+        answer_count = self._answer_count
+        self.loop.run_prioritized(lambda: self._answer_count > answer_count, MAX_REFRESH_MS)
+
+    def _awaits_answer_in_time(self) -> bool:
+        """Return whether a poll is outstanding whose answer is not overdue."""
+        now_s = self.loop.clock()
+        return any(
+            watch.has_answered and watch.answer_due_s(OVERDUE_AFTER_MS) > now_s
+            for watch in self.watches
+        )
+
     # -- Polling
 
     def _poll(self, watch: Watch) -> None:
         """Send a poll for events newer than the known revision."""
         self.state = DiscoveryState.POLLING
-        watch.poll(POLL_LINGER_MS if watch.has_answered else FIRST_POLL_LINGER_MS)
+        may_linger = watch.has_answered and not self._is_refreshing
+        watch.poll(POLL_LINGER_MS if may_linger else FIRST_POLL_LINGER_MS)
         self._await_answer()
 
     def _on_usable_answer(self) -> None:
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -43,6 +43,8 @@
 # The heap is not compacted while it holds at most this many cancelled timers.
 COMPACTION_THRESHOLD_TIMERS = 64
 DEFAULT_MAX_WAIT_MS = 1000.0
+# Bounds the polls of ``run_prioritized`` where the clock stands still.
+MAX_PRIORITIZED_POLLS = 64
 MS_PER_S = 1000.0
 
 
@@ -111,6 +113,8 @@
         busy_since_s: When the last poll that had to wait has returned.
         inputs_may_be_unordered: Whether inputs that the last poll has reported may have arrived in
             another order than that in which they are read.
+        on_stall: Called with the seconds since the last check when the process may have been
+            suspended, and with whether the loop may wait now.
         running: Whether ``run`` continues.
     """
 
@@ -139,6 +143,8 @@
         self.inputs_may_be_unordered = False
         # The latest time until which input of a stall is still read; 0 if there was no stall.
         self._catch_up_until_s = 0.0
+        self.on_stall: Callable[[float, bool], None] = _ignore_stall
+        self._checked_at_s = self.oldest_input_at_s
         self.running = False
 
     # -- Timers
@@ -293,8 +299,14 @@
         began_s = self.clock()
         if due_s is not None:
             timeout_s = min(timeout_s, max(due_s - began_s, 0.0))
+        previous_poll_s = self._last_poll_s
         ready = self._poll_all(timeout_s)
-        self._update_oldest_input_time(began_s, timeout_s, bool(ready))
+        stalled = self._update_oldest_input_time(began_s, timeout_s, bool(ready))
+        self._checked_at_s = self._last_poll_s
+        if stalled:
+            self.on_stall(self._last_poll_s - previous_poll_s, True)
+            # A wait that a suspension has interrupted may report nothing although input is pending.
+            ready = self._poll_all(0.0)
         if ready and self._last_poll_s - began_s > MAX_POLL_UNCERTAINTY_S:
             # The poll has waited, so the time at which it looked last is not known.
             began_s = self.clock()
@@ -314,12 +326,15 @@
         """Return the events of all ready descriptors, however many."""
         return self.epoll.poll(timeout_s, max(len(self._masks), 1))
 
-    def _update_oldest_input_time(self, began_s: float, timeout_s: float, any_ready: bool) -> None:
+    def _update_oldest_input_time(self, began_s: float, timeout_s: float, any_ready: bool) -> bool:
         """Update the earliest time at which input that is read in this step may have arrived.
 
         While a process is suspended or not scheduled, input arrives in the kernel without a time.
         It arrived after the loop's last poll, and is assumed to have arrived right then, until no
         more input is pending.
+
+        Returns:
+            Whether the process was suspended or not scheduled.
         """
         now = self.clock()
         stalled = now - self._last_poll_s > timeout_s + STALL_THRESHOLD_S
@@ -333,6 +348,38 @@
             self.oldest_input_at_s = now
             self._catch_up_until_s = 0.0
         self._last_poll_s = now
+        return stalled
+
+    def check_stall(self) -> None:
+        """Call ``on_stall`` if the process may have been suspended since the last check.
+
+        It is called before work goes out that unread input may forbid. The loop itself checks after
+        each wait.
+        """
+        now_s = self.clock()
+        pause_s = now_s - self._checked_at_s
+        self._checked_at_s = now_s
+        if pause_s > STALL_THRESHOLD_S:
+            self.on_stall(pause_s, False)
+
+    def run_prioritized(self, is_done: Callable[[], bool], max_wait_ms: float) -> None:
+        """Handle prioritized descriptors, and nothing else, until a condition holds.
+
+        Not to be called from a coroutine or a hook of a connection.
+
+        Args:
+            is_done: The condition.
+            max_wait_ms: The longest wait.
+        """
+        due_s = self.clock() + max_wait_ms / MS_PER_S
+        for _ in range(MAX_PRIORITIZED_POLLS):
+            remaining_s = due_s - self.clock()
+            if is_done() or remaining_s <= 0.0:
+                return
+            ready = self.priority_epoll.poll(remaining_s)
+            if not ready:
+                return
+            self._resume_ready(ready)
 
     @property
     def catching_up(self) -> bool:
@@ -360,3 +407,7 @@
         """Close the epoll descriptors."""
         self.epoll.close()
         self.priority_epoll.close()
+
+
+def _ignore_stall(pause_s: float, may_wait: bool) -> None:
+    """Do nothing: nothing depends on unread input."""
--- a/umberusher/standin/clock.py
+++ b/umberusher/standin/clock.py
@@ -59,6 +59,9 @@
         self.steps += 1
         self._run_due_timers()
 
+    def check_stall(self) -> None:
+        """Do nothing: the clock moves only while nothing is ready."""
+
     def _resume_ready(self, ready: list[tuple[int, int]]) -> None:
         """Resume coroutines, and run the work that each queues before the next one."""
         for item in ready:
--- a/umberusher/upstream/outgoing_request.py
+++ b/umberusher/upstream/outgoing_request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from umberusher.deadlines.budget import BudgetExhausted
-from umberusher.pipeline.request import Attempt, Request, SendProgress
+from umberusher.pipeline.request import Attempt, AttemptFailure, Request, SendProgress
 from umberusher.protocol import engine as codec
 from umberusher.upstream.channel import EngineChannel
 from umberusher.upstream.context import UpstreamContext
@@ -48,8 +48,13 @@
         No request may start after its client's deadline.
         """
         attempt = self._attempt
+        # News that arrived while the process was suspended may forbid the request.
+        self._context.loop.check_stall()
         if attempt.ended:
             return b""
+        if not self._context.endpoints.is_available(attempt.engine):
+            self._fail_later()
+            return b""
         ttl_ms = self._remaining_time.engine_ttl_ms(attempt, self._channel)
         if isinstance(ttl_ms, BudgetExhausted):
             self._expire_later(ttl_ms)
@@ -72,6 +77,13 @@
             0.0, lambda: self._remaining_time.end_expired(self._attempt, reason)
         )
 
+    def _fail_later(self) -> None:
+        """Fail the attempt in the next iteration of the loop: the connection is writing now."""
+        failure = AttemptFailure(SendProgress.NOT_WRITTEN, "engine accepts no new requests")
+        self._context.loop.call_later(
+            0.0, lambda: self._context.registry.fail_attempt(self._attempt, failure)
+        )
+
     def written(self) -> None:
         """Record that the kernel has the last byte: from now on the engine may run the query."""
         attempt = self._attempt
