Evict no client when accept fails for another reason than lack of descriptors

Cause: each error of accept but three counted as a shortage of this process's descriptors, and a client was evicted for each: the one that is idle longest, mostly one whose first request is under way. When the listener closes at a shutdown, the first error also left the rest of the backlog to a reset.

Change: net/system_errors.py classifies errno by what it proves, with accept(2) as the source. Only EMFILE evicts. Errors of the one connection are passed over, shortages of the system are waited out for 20 ms. A closing listener goes on until nothing is pending, for 64 batches or failures at most.

Evidence: 11 of the new cases red on the code before (a report of lack of descriptors for ENFILE, ENOBUFS, ENOMEM, EPROTO, EPERM and the network errors; 0 of 5 pending connections accepted), green now.

--- a/tests/net/test_sockets.py
+++ b/tests/net/test_sockets.py
@@ -5,6 +5,8 @@
 import errno
 import socket
 
+import pytest
+
 from tests.client_calls import newest_client_connection
 from tests.rig import Peer
 from umberusher.net import connection
@@ -143,3 +145,73 @@
     assert bounds[3:] == [105.0]
     for each in (listener, *peers, loop):
         each.close()
+
+
+@pytest.mark.parametrize(
+    "error_number",
+    [
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.ECONNABORTED,
+        errno.EPROTO,
+        errno.ENETUNREACH,
+        errno.EHOSTUNREACH,
+        errno.ENETDOWN,
+        errno.EPERM,
+        errno.EINTR,
+    ],
+)
+def test_listener_reports_no_lack_of_descriptors_when_accept_fails_for_a_moment(error_number):
+    """Each failure but three had a client evicted, whose first request then went unanswered."""
+    now = [0.0]
+    loop, accepted_sockets, reports = Loop(lambda: now[0]), [], []
+
+    class SocketWithFailingAccept(socket.socket):
+        remaining_failures = 3
+
+        def accept(self):
+            if self.remaining_failures:
+                self.remaining_failures -= 1
+                raise OSError(error_number, "for a moment")
+            return super().accept()
+
+    sock = SocketWithFailingAccept()
+    sock.bind(("127.0.0.1", 0))
+    sock.listen()
+    listener = Listener(loop, sock, 4, accepted_sockets.append, lambda: reports.append(now[0]))
+    listener.set_paused(False)
+    peers = [socket.create_connection(sock.getsockname()) for _ in range(3)]
+    for _ in range(10):
+        now[0] += 0.021
+        loop.step(0)
+        loop.step(0)
+    assert not reports and len(accepted_sockets) == len(peers)
+    for each in (listener, *peers, *accepted_sockets, loop):
+        each.close()
+
+
+@pytest.mark.parametrize("error_number", [errno.ECONNABORTED, errno.ENFILE, errno.EMFILE])
+def test_listener_that_closes_accepts_what_is_pending_when_accept_fails_for_a_moment(error_number):
+    """What is still pending when a listener closes is reset, with the requests on it."""
+    loop, accepted_sockets = Loop(), []
+
+    class SocketWithFailingAccept(socket.socket):
+        remaining_failures = 5
+
+        def accept(self):
+            if self.remaining_failures:
+                self.remaining_failures -= 1
+                raise OSError(error_number, "for a moment")
+            return super().accept()
+
+    sock = SocketWithFailingAccept()
+    sock.bind(("127.0.0.1", 0))
+    sock.listen()
+    listener = Listener(loop, sock, 2, accepted_sockets.append, lambda: None)
+    listener.set_paused(False)
+    peers = [socket.create_connection(sock.getsockname()) for _ in range(5)]
+    listener.accept_pending_and_close()
+    assert len(accepted_sockets) == len(peers)
+    for each in (*peers, *accepted_sockets, loop):
+        each.close()
--- a/umberusher/net/listener.py
+++ b/umberusher/net/listener.py
@@ -7,13 +7,25 @@
 import math
 import socket
 from collections.abc import Callable
+from enum import Enum
 
 from umberusher.net.loop import READ, Coroutine, Loop, Wait
+from umberusher.net.system_errors import ErrorClass, classify_accept_error
 
 log = logging.getLogger(__name__)
 
-# How long a listener accepts nothing once descriptors have run out.
-DESCRIPTOR_SHORTAGE_PAUSE_MS = 20.0
+# How long a listener accepts nothing once descriptors or another resource have run out.
+SHORTAGE_PAUSE_MS = 20.0
+# Failures and batches after which a listener that closes gives up on what is still pending.
+MAX_FINAL_BATCHES = 64
+
+
+class BatchEnd(Enum):
+    """Why a batch of accepted connections has ended."""
+
+    NONE_PENDING = "none pending"
+    BATCH_FULL = "batch full"
+    SHORTAGE = "shortage"
 
 
 class Listener:
@@ -32,7 +44,7 @@
         sock: socket.socket,
         batch_size: int,
         on_accepted: Callable[[socket.socket], None],
-        on_descriptor_shortage: Callable[[], object],
+        on_descriptors_exhausted: Callable[[], object],
     ) -> None:
         """Create a paused listener.
 
@@ -41,7 +53,8 @@
             sock: The listening socket, owned from now on.
             batch_size: Connections accepted at once.
             on_accepted: Called with each accepted socket.
-            on_descriptor_shortage: Called when no descriptor is left for a pending connection.
+            on_descriptors_exhausted: Called when this process may open no descriptor for a pending
+                connection.
         """
         self.sock = sock
         self.paused = True
@@ -52,7 +65,7 @@
         self._loop = loop
         self._batch_size = batch_size
         self._on_accepted = on_accepted
-        self._on_descriptor_shortage = on_descriptor_shortage
+        self._on_descriptors_exhausted = on_descriptors_exhausted
         sock.setblocking(False)
 
     def set_paused(self, paused: bool) -> None:
@@ -81,27 +94,31 @@
         events = READ
         while True:
             yield Wait(self.sock.fileno(), events)
-            if self._accept_batch():
+            if self._accept_batch() is not BatchEnd.SHORTAGE:
                 events = READ
             else:
-                # Without a free descriptor, the listener neither busy-loops nor stops for good.
+                # In a shortage, the listener neither busy-loops nor stops for good.
                 events = 0
-                self._loop.call_later(DESCRIPTOR_SHORTAGE_PAUSE_MS, self._resume)
+                self._loop.call_later(SHORTAGE_PAUSE_MS, self._resume)
 
-    def _accept_batch(self) -> bool:
-        """Accept pending connections, up to a batch; return False if no descriptor was left."""
+    def _accept_batch(self) -> BatchEnd:
+        """Accept pending connections, up to a batch."""
         self.backlog_since_s = self._pending_since_s()
         for _ in range(self._batch_size):
             try:
                 accepted, _address = self.sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return True
             except OSError as error:
+                failure = classify_accept_error(error.errno)
+                if failure is ErrorClass.NOTHING_READY:
+                    return BatchEnd.NONE_PENDING
                 reason = errno.errorcode.get(error.errno or 0, error.errno)
-                log.warning("accept_failed error=%s", reason)
-                self._on_descriptor_shortage()
+                log.warning("accept_failed error=%s class=%r", reason, failure.value)
+                if failure is ErrorClass.CONNECTION_GONE:
+                    continue
+                if failure is ErrorClass.DESCRIPTORS_EXHAUSTED:
+                    self._on_descriptors_exhausted()
                 self._keep_backlog()
-                return False
+                return BatchEnd.SHORTAGE
             try:
                 self._on_accepted(accepted)
             except Exception:
@@ -109,7 +126,7 @@
                 log.exception("connection_setup_failed")
                 accepted.close()
         self._keep_backlog()
-        return True
+        return BatchEnd.BATCH_FULL
 
     def _keep_backlog(self) -> None:
         """Record that further connections may be pending."""
@@ -124,7 +141,9 @@
     def accept_pending_and_close(self) -> None:
         """Accept the pending connections, then close the socket."""
         if not self.paused:
-            self._accept_batch()
+            for _ in range(MAX_FINAL_BATCHES):
+                if self._accept_batch() is BatchEnd.NONE_PENDING:
+                    break
         self.close()
 
     def close(self) -> None:
