Take no engine for warm because the wall clock was stepped

What callers would see: a cold engine that gets its full share falls under it (slow start).

Cause: startedAtMs was converted to the broker's own time with the offset of the moment. A start that was stamped by another clock, or before the step, moved by the step: after a step ahead by an hour a cold engine looked an hour old.

Change: both offsets (of the start and of now) are tried and the later result counts, never a time in the future. Without a step nothing changes.

--- a/umberusher/deadlines/timeline.py
+++ b/umberusher/deadlines/timeline.py
@@ -2,8 +2,10 @@
 
 Its values read like Unix time. The offset between both clocks is read once, at the start, so that a
 step of the Unix clock neither ends nor extends open requests. A Unix time that is received from
-outside (when an engine started, since when one is drained manually) is converted with the current
-offset, so that a step of the clock affects only such times.
+outside (when an engine started, since when one is drained manually) may have been taken before or
+after a step, by this clock or by another one. It is converted with both offsets, and the later
+result counts, but none that lies in the future: an engine that began at a time in doubt warms up
+again.
 """
 
 from __future__ import annotations
@@ -38,5 +40,8 @@
         return self.unix_ms() - self.now_ms()
 
     def from_unix_ms(self, unix_ms: float) -> float:
-        """Return the timeline's value of a Unix time that was received from outside."""
-        return unix_ms - self.drift_ms()
+        """Return the timeline's value of a Unix time that was received from outside.
+
+        After a step of the Unix clock it is the latest time that the step leaves possible.
+        """
+        return min(unix_ms + max(-self.drift_ms(), 0.0), self.now_ms())
