--- a/umberusher/commands/capacity.py
+++ b/umberusher/commands/capacity.py
@@ -29,7 +29,7 @@
 # Constants of the program that the capacity page quotes: when one changes, the page must be updated.
 PROGRAM_CONSTANTS = {
     "poll_linger": Quantity.of(discovery_client.POLL_LINGER_MS, "ms"),
-    "silent": Quantity.of(discovery_client.ANSWER_TIMEOUT_MS, "ms"),
+    "silent": Quantity.of(discovery_client.OVERDUE_AFTER_MS, "ms"),
     "retry_most": Quantity.of(backoff.MAX_RECONNECT_BACKOFF_MS, "ms"),
     "ids_remembered": Quantity.of(manual_drains.MAX_REMOVED_IDS, "id/broker"),
     "probe_every": Quantity.of(health_checks.MIN_INTERVAL_MS, "ms"),
