Keep the time of a stall while its input is read, however long that takes

Cause: a step of catching up that takes over 50 ms counts as a stall of its own, and moved the earliest time of arrival to the end of the first one. Change: a stall within the 0.5 s of catching up keeps the older time. Evidence: the new test of tests/net/test_loop.py, red before (101.0 for 100.0).

--- a/tests/net/test_loop.py
+++ b/tests/net/test_loop.py
@@ -4,7 +4,7 @@
 
 import socket
 
-from umberusher.net.loop import MAX_EVENTS_PER_STEP, READ, Loop, Wait
+from umberusher.net.loop import MAX_CATCH_UP_S, MAX_EVENTS_PER_STEP, READ, Loop, Wait
 
 
 def test_loop_clears_cancelled_timers_before_they_are_due():
@@ -105,3 +105,33 @@
     for pair in pairs:
         for sock in pair:
             sock.close()
+
+
+def test_loop_keeps_the_time_of_a_stall_when_catching_up_takes_long_itself():
+    """Calls on connections accepted after a stop counted as arrived when the process went on."""
+    now = [100.0]
+    loop = Loop(lambda: now[0])
+    ours, peer = socket.socketpair()
+    read_at_s: list[float] = []
+
+    def reader():
+        while True:
+            yield Wait(ours.fileno(), READ)
+            read_at_s.append(loop.oldest_input_at_s)
+            now[0] += 0.06
+            if len(read_at_s) > 1:
+                ours.recv(10)
+
+    loop.spawn(reader())
+    loop.step(0)
+    peer.send(b"x")
+    now[0] += 1.0
+    for _ in range(2):
+        loop.step(0)
+    assert read_at_s == [100.0, 100.0]
+    now[0] += MAX_CATCH_UP_S
+    peer.send(b"x")
+    loop.step(0)
+    assert read_at_s[-1] > 101.0
+    for each in (ours, peer, loop):
+        each.close()
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -342,8 +342,10 @@
         if waited or not any_ready:
             self.busy_since_s = now
         if stalled:
-            self.oldest_input_at_s = self._last_poll_s
-            self._catch_up_until_s = now + MAX_CATCH_UP_S
+            # Connections that were accepted since an earlier stall may hold input of that time.
+            if not self.catching_up or now > self._catch_up_until_s:
+                self.oldest_input_at_s = self._last_poll_s
+                self._catch_up_until_s = now + MAX_CATCH_UP_S
         elif not any_ready or waited or now > self._catch_up_until_s:
             self.oldest_input_at_s = now
             self._catch_up_until_s = 0.0
