Go on polling when the connection breaks while a poll is written

The failed write schedules the retry at once, and the wait for the answer to that poll then cancelled it and raised for lack of a watch. Change: the wait is set only while the watch is open.

--- a/tests/discovery/test_stopped_watches.py
+++ b/tests/discovery/test_stopped_watches.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable
 
 import pytest
 
 from tests.discovery.faulty_discovery import FaultyDiscovery
+from umberusher.net.ring import RingBuffer
 
 # Engines may still be sent new work for a grace of a tenth of a second and more.
 MAX_LATENESS_S = 0.1
@@ -93,3 +95,24 @@
     run_with_changes(service, 30.0, 0.9, service.break_watches)
     service.run(8.0)
     assert service.lateness_s() <= MAX_LATENESS_S
+
+
+@pytest.mark.parametrize("failing_write", [1, 2, 3])
+def test_client_goes_on_when_the_connection_breaks_while_a_poll_is_written(
+    faulty, monkeypatch, failing_write
+):
+    """The retry was cancelled by the wait for the answer to a poll that could not be written."""
+    service = faulty()
+    write_through = RingBuffer.write_through
+    writes = []
+
+    def failing_write_through(ring, sock, data):
+        writes.append(data)
+        if len(writes) == failing_write:
+            raise ConnectionResetError(errno.ECONNRESET, "reset")
+        return write_through(ring, sock, data)
+
+    monkeypatch.setattr(RingBuffer, "write_through", failing_write_through)
+    run_with_changes(service, 10.0, 0.9, lambda: None)
+    service.run(1.0)
+    assert len(writes) > failing_write and service.lateness_s() <= MAX_LATENESS_S
--- a/umberusher/discovery/client.py
+++ b/umberusher/discovery/client.py
@@ -388,7 +388,8 @@
         self.state = DiscoveryState.POLLING
         may_linger = watch.has_answered and not self._is_refreshing
         watch.poll(POLL_LINGER_MS if may_linger else FIRST_POLL_LINGER_MS)
-        self._await_answer()
+        if watch in self.watches:  # the write may have failed, so that a retry is scheduled
+            self._await_answer()
 
     def _on_usable_answer(self) -> None:
         """Reset the backoff after unusable answers and the causes that have been logged."""
