Untie time_limits from client_connection; pick soak ports outside the outgoing range

frontend/time_limits.py imported the connection for its type, and the connection imports time_limits: the limits now name what they read (TimedClient), so imports point one way. The soak's broker of one run of 60 could not bind its port ('Address already in use'): another run's outgoing connection had it. Ports now come from below the kernel's range.

--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -15,6 +15,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -42,6 +43,7 @@
 GRACE_S = 0.25
 # The longest deadline of the deployment, counted as 3 s at most, and 0.7 s: the earliest SIGKILL.
 KILL_AFTER_S = 3.7
+BROKER_PORTS = (20_000, 32_000)
 CONNECTS_AFTER_TERM_S = 0.3
 STATEMENT = b"select slot from sales_17.orders where site = 4"
 LOAD_STATEMENT = b"insert into sales_17.orders select * from staging.orders"
@@ -163,7 +165,7 @@
         self._states = ["SERVING"] * ENGINE_COUNT
         self._started_ms = [0] * ENGINE_COUNT
         self._folder = Path(tempfile.mkdtemp(prefix="soak-"))
-        self._port = rig.free_port()
+        self._port = _free_port(self._random)
         self._process: subprocess.Popen[bytes] | None = None
         self._accepts_new = asyncio.Event()
         self._is_up = asyncio.Event()
@@ -447,6 +449,18 @@
             shutil.rmtree(self._folder, ignore_errors=True)
 
 
+def _free_port(generator: random.Random) -> int:
+    """Return a free port below those that the kernel gives to outgoing connections.
+
+    Runs beside each other could otherwise take it before the broker does, or while it restarts.
+    """
+    for _ in range(100):
+        port = generator.randrange(*BROKER_PORTS)
+        with contextlib.suppress(OSError), socket.create_server((rig.HOST, port)):
+            return port
+    raise rig.CouldNotRunError("no port is free")
+
+
 def play(kind: FaultKind, seed: int, seconds: float, log: Path | None = None) -> SoakReport:
     """Play one run in this process."""
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
--- a/umberusher/frontend/time_limits.py
+++ b/umberusher/frontend/time_limits.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Sized
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-if TYPE_CHECKING:
-    from umberusher.frontend.client_connection import ClientConnection
+from umberusher.net.connection import Connection
 
 # Limit of the time until a connection's first byte, and between the bytes of an incomplete call.
 MAX_SILENCE_MS = 2_000.0
@@ -30,7 +30,31 @@
     IDLE = "idle"
 
 
-def overdue_reason(client: ClientConnection, now_ms: float) -> CloseReason | None:
+class TimedClient(Protocol):
+    """What the time limits of a client's connection depend on."""
+
+    @property
+    def connection(self) -> Connection:
+        """The connection."""
+
+    @property
+    def active_ms(self) -> float:
+        """When the client was last active."""
+
+    @property
+    def incomplete_since_ms(self) -> float | None:
+        """Since when a call is expected or incomplete; None if none is."""
+
+    @property
+    def has_called(self) -> bool:
+        """Whether a complete call has arrived."""
+
+    @property
+    def open_calls(self) -> Sized:
+        """The calls that wait for their answers."""
+
+
+def overdue_reason(client: TimedClient, now_ms: float) -> CloseReason | None:
     """Return why a connection is to be closed; None if no time limit has passed."""
     inactive_ms = now_ms - client.active_ms
     if not client.connection.is_flushed:
@@ -43,7 +67,7 @@
     return CloseReason.IDLE if inactive_ms > MAX_IDLE_MS else None
 
 
-def _call_is_overdue(client: ClientConnection, now_ms: float) -> bool:
+def _call_is_overdue(client: TimedClient, now_ms: float) -> bool:
     if client.incomplete_since_ms is None:
         return False
     max_call_ms = MAX_CALL_MS if client.has_called else MAX_FIRST_CALL_MS
