Keep sweeping while the process's memory cannot be read

What callers would see: a broker that does not end after SIGTERM, and links and limits that stand still, while open fails (ENFILE, EMFILE, EIO).

Change: without a reading the last one counts. Found by looking for the class of the accept errors: what a failed call proves.

--- a/umberusher/broker/memory_pressure.py
+++ b/umberusher/broker/memory_pressure.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 from collections.abc import Callable
 
@@ -76,17 +77,22 @@
         peers_mb: The memory of the other processes.
     """
 
-    __slots__ = ("_limit_mb", "_memory_mb", "peers_mb")
+    __slots__ = ("_last_mb", "_limit_mb", "_memory_mb", "peers_mb")
 
     def __init__(self, limit_mb: float, memory_mb: Callable[[], float]) -> None:
         self._limit_mb = limit_mb
         self._memory_mb = memory_mb
+        self._last_mb = 0.0
         self.peers_mb = 0.0
 
     @property
     def total_mb(self) -> float:
         """The memory of all processes of this broker."""
-        return self._memory_mb() + self.peers_mb
+        # Reading it takes a descriptor. Without one the last value counts: an exception would skip
+        # the rest of a sweep, on which the shutdown depends.
+        with contextlib.suppress(OSError):
+            self._last_mb = self._memory_mb()
+        return self._last_mb + self.peers_mb
 
     @property
     def used_fraction(self) -> float:
