--- a/umberusher/net/connection.py
+++ b/umberusher/net/connection.py
@@ -24,7 +24,6 @@
 
 from umberusher.net.loop import HUNG_UP, READ, READ_CLOSED, WRITE, Coroutine, Loop, Timer, Wait
 from umberusher.net.ring import RingBuffer, RingMemory
-from umberusher.net.system_errors import classify_connect_error
 
 log = logging.getLogger(__name__)
 
@@ -73,13 +72,11 @@
 
     Attributes:
         reason: The failed call and the error's symbolic name.
-        error_class: What the failure proves.
     """
 
     def __init__(self, call: str, error_number: int | None) -> None:
         """Create the error of ``call`` with its errno."""
         self.reason = _describe(call, error_number)
-        self.error_class = classify_connect_error(error_number)
         super().__init__(self.reason)
 
 
--- a/umberusher/net/system_errors.py
+++ b/umberusher/net/system_errors.py
@@ -1,7 +1,7 @@
-"""What the failure of a socket call proves, by its errno.
+"""What a failed ``accept`` proves, by its errno.
 
-Source: Linux man-pages, accept(2), connect(2), socket(2), socket(7) and ip(7). accept(2) passes on
-network errors that are pending on the new connection, and asks callers to retry after them.
+Source: Linux man-pages, accept(2). It passes on network errors that are pending on the new
+connection, and asks callers to retry after them.
 """
 
 from __future__ import annotations
@@ -19,19 +19,15 @@
         DESCRIPTORS_EXHAUSTED: This process holds as many descriptors as it may; closing one helps.
         RESOURCE_SHORTAGE: The system lacks a resource for now; closing a descriptor of this process
             doesn't help, and no peer is to blame.
-        PEER_UNREACHABLE: The peer refuses, or there is no way to it.
     """
 
     NOTHING_READY = "nothing ready"
     CONNECTION_GONE = "connection gone"
     DESCRIPTORS_EXHAUSTED = "descriptors exhausted"
     RESOURCE_SHORTAGE = "resource shortage"
-    PEER_UNREACHABLE = "peer unreachable"
 
 
 _NOTHING_READY = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR})
-# Shortages of the system as a whole: files, buffers, memory, local ports.
-_SHORTAGES = frozenset({errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL})
 # The errors that accept(2) names as pending on the new connection, and of a connection that was
 # aborted or forbidden by a firewall before it was accepted.
 _ACCEPTED_GONE = frozenset(
@@ -61,12 +57,3 @@
     if error_number == errno.EMFILE:
         return ErrorClass.DESCRIPTORS_EXHAUSTED
     return ErrorClass.RESOURCE_SHORTAGE
-
-
-def classify_connect_error(error_number: int | None) -> ErrorClass:
-    """Return what a failed ``socket`` or ``connect`` proves about the peer."""
-    if error_number == errno.EMFILE:
-        return ErrorClass.DESCRIPTORS_EXHAUSTED
-    if error_number in _SHORTAGES:
-        return ErrorClass.RESOURCE_SHORTAGE
-    return ErrorClass.PEER_UNREACHABLE
