Hold less memory for the types of watches, limits and accept failures

Protocols are needed by the type checker alone, WatchTarget by one caller, BatchEnd repeats ErrorClass.

--- a/umberusher/discovery/client.py
+++ b/umberusher/discovery/client.py
@@ -20,7 +20,7 @@
 from random import Random
 
 from umberusher.discovery.backoff import PollBackoff, max_unusable_backoff_ms
-from umberusher.discovery.watch import PollAnswer, Watch, WatchTarget
+from umberusher.discovery.watch import PollAnswer, Watch
 from umberusher.net.connection import ConnectError, Connection
 from umberusher.net.loop import Loop, Timer
 from umberusher.net.ring import RingMemory
@@ -145,10 +145,17 @@
         """Open a watch, which polls once it is connected."""
         if self.state is DiscoveryState.CLOSED:
             return
-        target = WatchTarget(self.address, self.known_revision, self.max_answer_bytes, self._memory)
         self._opened_count += 1
         try:
-            watch = Watch(self.loop, target, self, self._opened_count)
+            watch = Watch(
+                self.loop,
+                self.address,
+                self.known_revision,
+                self.max_answer_bytes,
+                self._memory,
+                self,
+                self._opened_count,
+            )
         except ConnectError as error:
             self._retry_connection(error.reason)
             return
--- a/umberusher/discovery/watch.py
+++ b/umberusher/discovery/watch.py
@@ -4,8 +4,7 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import NamedTuple, Protocol
+from typing import TYPE_CHECKING
 
 from umberusher.net import connection
 from umberusher.net.connection import RawMessage, State
@@ -15,6 +14,25 @@
 from umberusher.protocol.discovery import DiscoveryProtocolError, WatchEvent
 from umberusher.protocol.discovery_poll import DiscoveryConnectionError, PollClient
 
+if TYPE_CHECKING:  # Saves memory.
+    from typing import Protocol
+
+    class WatchOwner(Protocol):
+        """Receives what happens on a watch."""
+
+        def on_connected(self, watch: Watch) -> None:
+            """Handle an established connection: nothing has been polled on it."""
+
+        def on_answer(self, watch: Watch, answer: PollAnswer) -> None:
+            """Handle a usable answer to the outstanding poll."""
+
+        def on_unusable_answer(self, watch: Watch, error: DiscoveryProtocolError) -> None:
+            """Handle an answer that can't be used; the watch is still open."""
+
+        def on_failed(self, watch: Watch, reason: str) -> None:
+            """Handle the end of the connection, unless the owner itself has closed the watch."""
+
+
 log = logging.getLogger(__name__)
 
 # Minimum rate at which a long answer must arrive: the longest list of 32,000 entries must be
@@ -29,7 +47,7 @@
 MS_PER_S = 1000.0
 
 
-class PollAnswer(NamedTuple):
+class PollAnswer:
     """A usable answer.
 
     Attributes:
@@ -37,41 +55,12 @@
         revision: The current revision of the service, if the answer names one.
     """
 
-    events: list[WatchEvent]
-    revision: int | None
-
-
-class WatchOwner(Protocol):
-    """Receives what happens on a watch."""
-
-    def on_connected(self, watch: Watch) -> None:
-        """Handle an established connection: nothing has been polled on it."""
+    __slots__ = ("events", "revision")
 
-    def on_answer(self, watch: Watch, answer: PollAnswer) -> None:
-        """Handle a usable answer to the outstanding poll."""
-
-    def on_unusable_answer(self, watch: Watch, error: DiscoveryProtocolError) -> None:
-        """Handle an answer that can't be used; the watch is still open."""
-
-    def on_failed(self, watch: Watch, reason: str) -> None:
-        """Handle the end of the connection, unless the owner itself has closed the watch."""
-
-
-@dataclass(frozen=True, slots=True)
-class WatchTarget:
-    """Where a watch connects to, and what it may hold.
-
-    Attributes:
-        address: Host and port of the discovery service.
-        known_revision: Returns the newest revision that has been applied.
-        max_answer_bytes: Longest answer that is read.
-        memory: Where buffers and answers are charged; None without an account.
-    """
-
-    address: tuple[str, int]
-    known_revision: Callable[[], int]
-    max_answer_bytes: int
-    memory: RingMemory | None
+    def __init__(self, events: list[WatchEvent], revision: int | None) -> None:
+        """Create the answer."""
+        self.events = events
+        self.revision = revision
 
 
 class Watch:
@@ -90,9 +79,10 @@
 
     __slots__ = (
         "_answer_memory_bytes",
+        "_known_revision",
         "_loop",
+        "_memory",
         "_owner",
-        "_target",
         "connection",
         "has_answered",
         "linger_ms",
@@ -102,14 +92,33 @@
         "polled_revision",
     )
 
-    def __init__(self, loop: Loop, target: WatchTarget, owner: WatchOwner, number: int) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        known_revision: Callable[[], int],
+        max_answer_bytes: int,
+        memory: RingMemory | None,
+        owner: WatchOwner,
+        number: int,
+    ) -> None:
         """Begin to connect.
 
+        Args:
+            loop: The event loop.
+            address: Host and port of the discovery service.
+            known_revision: Returns the newest revision that has been applied.
+            max_answer_bytes: Longest answer that is read.
+            memory: Where buffers and answers are charged; None without an account.
+            owner: Receives what happens on the watch.
+            number: Identifies it in the log.
+
         Raises:
             ConnectError: The connection attempt failed immediately.
         """
         self._loop = loop
-        self._target = target
+        self._known_revision = known_revision
+        self._memory = memory
         self._owner = owner
         self._answer_memory_bytes = 0
         self.number = number
@@ -117,10 +126,10 @@
         self.polled_at_s = loop.clock()
         self.polled_revision = 0
         self.linger_ms = 0.0
-        host, port = target.address
-        self.poll_client = PollClient(f"{host}:{port}", target.max_answer_bytes)
+        host, port = address
+        self.poll_client = PollClient(f"{host}:{port}", max_answer_bytes)
         self.connection = connection.connect(
-            loop, target.address, READ_BUFFER_BYTES, READ_BUFFER_BYTES, target.memory
+            loop, address, READ_BUFFER_BYTES, READ_BUFFER_BYTES, memory
         )
         self.connection.on_open = lambda: owner.on_connected(self)
         self.connection.on_data = self._on_data
@@ -147,7 +156,7 @@
         if self.connection.state is not State.OPEN:
             return
         self.polled_at_s = self._loop.clock()
-        self.polled_revision = self._target.known_revision()
+        self.polled_revision = self._known_revision()
         self.linger_ms = linger_ms
         self.connection.inbound.release()
         log.debug(
@@ -206,23 +215,23 @@
         """
         inbound = self.connection.inbound
         data = inbound.take(len(inbound))
-        if self._target.memory is not None:
+        if self._memory is not None:
             added_bytes = len(data) * MEMORY_PER_ANSWER_BYTE
             self._answer_memory_bytes += added_bytes
-            self._target.memory.charge(added_bytes)
+            self._memory.charge(added_bytes)
         document = self.poll_client.feed(data)
         if document is None:
             if inbound.limit > inbound.allocated_bytes:
                 # The answer is longer than one read, so later reads use a full-size buffer.
                 self.connection.inbound = RingBuffer.preallocated(READ_BUFFER_BYTES)
             return None
-        events = codec.watch_events(document, self._target.known_revision())
+        events = codec.watch_events(document, self._known_revision())
         return PollAnswer(events, codec.document_revision(document))
 
     def _release_answer(self) -> None:
         """Release the memory that was charged for an answer."""
-        if self._target.memory is not None:
-            self._target.memory.release(self._answer_memory_bytes)
+        if self._memory is not None:
+            self._memory.release(self._answer_memory_bytes)
         self._answer_memory_bytes = 0
 
     def _on_closed(self, reason: str) -> None:
--- a/umberusher/frontend/time_limits.py
+++ b/umberusher/frontend/time_limits.py
@@ -2,11 +2,38 @@
 
 from __future__ import annotations
 
-from collections.abc import Sized
 from enum import StrEnum
-from typing import Protocol
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:  # Saves memory.
+    from collections.abc import Sized
+    from typing import Protocol
+
+    from umberusher.net.connection import Connection
+
+    class TimedClient(Protocol):
+        """What the time limits of a client's connection depend on."""
+
+        @property
+        def connection(self) -> Connection:
+            """The connection."""
+
+        @property
+        def active_ms(self) -> float:
+            """When the client was last active."""
+
+        @property
+        def incomplete_since_ms(self) -> float | None:
+            """Since when a call is expected or incomplete; None if none is."""
+
+        @property
+        def has_called(self) -> bool:
+            """Whether a complete call has arrived."""
+
+        @property
+        def open_calls(self) -> Sized:
+            """The calls that wait for their answers."""
 
-from umberusher.net.connection import Connection
 
 # Limit of the time until a connection's first byte, and between the bytes of an incomplete call.
 MAX_SILENCE_MS = 2_000.0
@@ -30,30 +57,6 @@
     IDLE = "idle"
 
 
-class TimedClient(Protocol):
-    """What the time limits of a client's connection depend on."""
-
-    @property
-    def connection(self) -> Connection:
-        """The connection."""
-
-    @property
-    def active_ms(self) -> float:
-        """When the client was last active."""
-
-    @property
-    def incomplete_since_ms(self) -> float | None:
-        """Since when a call is expected or incomplete; None if none is."""
-
-    @property
-    def has_called(self) -> bool:
-        """Whether a complete call has arrived."""
-
-    @property
-    def open_calls(self) -> Sized:
-        """The calls that wait for their answers."""
-
-
 def overdue_reason(client: TimedClient, now_ms: float) -> CloseReason | None:
     """Return why a connection is to be closed; None if no time limit has passed."""
     inactive_ms = now_ms - client.active_ms
--- a/umberusher/net/listener.py
+++ b/umberusher/net/listener.py
@@ -7,7 +7,6 @@
 import math
 import socket
 from collections.abc import Callable
-from enum import Enum
 
 from umberusher.net.loop import READ, Coroutine, Loop, Wait
 from umberusher.net.system_errors import ErrorClass, classify_accept_error
@@ -20,14 +19,6 @@
 MAX_FINAL_BATCHES = 64
 
 
-class BatchEnd(Enum):
-    """Why a batch of accepted connections has ended."""
-
-    NONE_PENDING = "none pending"
-    BATCH_FULL = "batch full"
-    SHORTAGE = "shortage"
-
-
 class Listener:
     """Accepts connections in batches, so that open connections are served in between.
 
@@ -94,15 +85,19 @@
         events = READ
         while True:
             yield Wait(self.sock.fileno(), events)
-            if self._accept_batch() is not BatchEnd.SHORTAGE:
+            if self._accept_batch() in (None, ErrorClass.NOTHING_READY):
                 events = READ
             else:
                 # In a shortage, the listener neither busy-loops nor stops for good.
                 events = 0
                 self._loop.call_later(SHORTAGE_PAUSE_MS, self._resume)
 
-    def _accept_batch(self) -> BatchEnd:
-        """Accept pending connections, up to a batch."""
+    def _accept_batch(self) -> ErrorClass | None:
+        """Accept pending connections, up to a batch.
+
+        Returns:
+            The failure that has ended the batch; None after a full one.
+        """
         self.backlog_since_s = self._pending_since_s()
         for _ in range(self._batch_size):
             try:
@@ -110,7 +105,7 @@
             except OSError as error:
                 failure = classify_accept_error(error.errno)
                 if failure is ErrorClass.NOTHING_READY:
-                    return BatchEnd.NONE_PENDING
+                    return failure
                 reason = errno.errorcode.get(error.errno or 0, error.errno)
                 log.warning("accept_failed error=%s class=%r", reason, failure.value)
                 if failure is ErrorClass.CONNECTION_GONE:
@@ -118,7 +113,7 @@
                 if failure is ErrorClass.DESCRIPTORS_EXHAUSTED:
                     self._on_descriptors_exhausted()
                 self._keep_backlog()
-                return BatchEnd.SHORTAGE
+                return failure
             try:
                 self._on_accepted(accepted)
             except Exception:
@@ -126,7 +121,7 @@
                 log.exception("connection_setup_failed")
                 accepted.close()
         self._keep_backlog()
-        return BatchEnd.BATCH_FULL
+        return None
 
     def _keep_backlog(self) -> None:
         """Record that further connections may be pending."""
@@ -142,7 +137,7 @@
         """Accept the pending connections, then close the socket."""
         if not self.paused:
             for _ in range(MAX_FINAL_BATCHES):
-                if self._accept_batch() is BatchEnd.NONE_PENDING:
+                if self._accept_batch() is ErrorClass.NOTHING_READY:
                     break
         self.close()
 
