Apply a stop or a break to the changes before the next watch is polled

Traced: the watch that counts was polled at 11.080 of its log's minute for 2 s, v14 came after that poll, the watch was then stopped, so v14 counts as announced at 15.08 at the earliest; the sends came at 13.10 to 13.20, and the broker noticed the stop at 13.84. The checker had taken the time of an earlier watch, which had been stopped and then replaced (SIGHUP in the same second), for that of the later change.

A stop or a break now says nothing of changes after another watch has been polled; changes before that poll count as announced by it, as before.

--- a/tests/faults/announcements.py
+++ b/tests/faults/announcements.py
@@ -60,10 +60,17 @@
         self._polls[watch] = _Poll(known_revision, now_s + wait_s)
 
     def read(self, watch: Hashable, now_s: float) -> None:
-        """Record that the service has read the last poll of a watch."""
+        """Record that the service has read the last poll of a watch.
+
+        That watch counts from now on: earlier changes count as announced by its poll, and a stop or
+        a break of an earlier watch says nothing of later ones.
+        """
         newer = [r for r in self.changed_at_s if r > self._polls[watch].known_revision]
         for revision in newer:
             self._announce(revision, now_s + self._service_delay_s)
+        self._thresholds_s = {
+            key: at_s for key, at_s in self._thresholds_s.items() if key == watch or at_s <= now_s
+        }
 
     def answer(self, watch: Hashable, revision: int, now_s: float) -> None:
         """Record an answer with the changes up to a revision."""
--- a/tests/faults/test_announcements.py
+++ b/tests/faults/test_announcements.py
@@ -69,3 +69,14 @@
     announcements = polled()
     announcements.reload(11.0)
     assert announcements.announced_at_s(1) == 15.0
+
+
+def test_stop_of_an_earlier_watch_does_not_count_for_changes_after_a_poll_of_another_one():
+    announcements = polled()
+    announcements.stop("watch")
+    announcements.break_off("watch", 11.0)
+    announcements.poll("other", 0, 2.0, 11.0)
+    announcements.read("other", 11.0)
+    announcements.change(2, 11.5)
+    announcements.stop("other")
+    assert [announcements.announced_at_s(revision) for revision in (1, 2)] == [11.0, 15.0]
