--- a/umberusher/frontend/call_queue.py
+++ b/umberusher/frontend/call_queue.py
@@ -48,23 +48,25 @@
     by_s: float
 
 
-class CallingClient(Protocol):
-    """The connection on which a call has arrived."""
+if TYPE_CHECKING:  # Saves memory.
 
-    def begin_call(self, pending: PendingCall) -> None:
-        """Begin one of its calls, which is open; its ``scan`` says if that takes further turns."""
+    class CallingClient(Protocol):
+        """The connection on which a call has arrived."""
 
-    def drop_call(self) -> None:
-        """Account for a withdrawn call, now that the queue has come to it."""
+        def begin_call(self, pending: PendingCall) -> None:
+            """Begin one of its open calls; its ``scan`` says if that takes further turns."""
 
-    def expire_call(self, pending: PendingCall) -> None:
-        """Answer one of its calls whose time has passed before it was begun."""
+        def drop_call(self) -> None:
+            """Account for a withdrawn call, now that the queue has come to it."""
 
-    def usage_level(self) -> int:
-        """Return how much of the loop's time it has used; calls of lower levels are begun first."""
+        def expire_call(self, pending: PendingCall) -> None:
+            """Answer one of its calls whose time has passed before it was begun."""
 
-    def close_after_fault(self) -> None:
-        """Close the connection: one of its calls has raised an exception."""
+        def usage_level(self) -> int:
+            """Return how much of the loop's time it has used; lower levels are begun first."""
+
+        def close_after_fault(self) -> None:
+            """Close the connection: one of its calls has raised an exception."""
 
 
 class PendingCall:
@@ -121,14 +123,16 @@
         self.scan = None
 
 
-class BusyLoop(Protocol):
-    """The event loop that runs the queue.
+if TYPE_CHECKING:  # Saves memory.
 
-    Attributes:
-        busy_since_s: Since when it has not waited for input.
-    """
+    class BusyLoop(Protocol):
+        """The event loop that runs the queue.
+
+        Attributes:
+            busy_since_s: Since when it has not waited for input.
+        """
 
-    busy_since_s: float
+        busy_since_s: float
 
 
 class _IdleLoop:
--- a/umberusher/frontend/client_connection.py
+++ b/umberusher/frontend/client_connection.py
@@ -63,37 +63,40 @@
 NO_OPEN_CALLS: dict[int, OpenCall] = {}
 
 
-class ClientOwner(Protocol):
-    """The part of the frontend that a client's connection uses.
-
-    Attributes:
-        loop: The event loop.
-        admission: Admits decoded requests.
-        call_queue: The calls that wait to be begun, in the order of arrival.
-        call_admission: Begins them.
-        now_ms: The broker's clock.
-        arrived_ms: Returns the earliest time at which input that is read now may have arrived.
-        accepts_clients: Returns whether clients should use this broker.
-        origin_of_port: Returns the origin of connections to a port; None if origins are not used.
-        memory: The account to which the clients' memory is charged.
-        memory_shedder: Releases memory that others need.
-        max_frame_bytes: Limit of one frame.
-    """
+if TYPE_CHECKING:  # Saves memory.
+
+    class ClientOwner(Protocol):
+        """The part of the frontend that a client's connection uses.
+
+        Attributes:
+            loop: The event loop.
+            admission: Admits decoded requests.
+            call_queue: The calls that wait to be begun, in the order of arrival.
+            call_admission: Begins them.
+            now_ms: The broker's clock.
+            arrived_ms: Returns the earliest time at which input that is read now may have arrived.
+            accepts_clients: Returns whether clients should use this broker.
+            origin_of_port: Returns the origin of connections to a port; None if origins are not
+                used.
+            memory: The account to which the clients' memory is charged.
+            memory_shedder: Releases memory that others need.
+            max_frame_bytes: Limit of one frame.
+        """
 
-    loop: Loop
-    admission: RequestAdmission
-    call_queue: CallQueue
-    call_admission: CallAdmission
-    now_ms: Callable[[], float]
-    arrived_ms: Callable[[], float]
-    accepts_clients: Callable[[], bool]
-    origin_of_port: Callable[[int], Origin] | None
-    memory: MemoryAccount
-    memory_shedder: MemoryShedder
-    max_frame_bytes: int
-
-    def remove_client(self, client: ClientConnection) -> None:
-        """Forget a client whose connection has closed or was handed over."""
+        loop: Loop
+        admission: RequestAdmission
+        call_queue: CallQueue
+        call_admission: CallAdmission
+        now_ms: Callable[[], float]
+        arrived_ms: Callable[[], float]
+        accepts_clients: Callable[[], bool]
+        origin_of_port: Callable[[int], Origin] | None
+        memory: MemoryAccount
+        memory_shedder: MemoryShedder
+        max_frame_bytes: int
+
+        def remove_client(self, client: ClientConnection) -> None:
+            """Forget a client whose connection has closed or was handed over."""
 
 
 class AnswerMessage(RawMessage):
--- a/umberusher/hot_restart/key_ownership.py
+++ b/umberusher/hot_restart/key_ownership.py
@@ -21,18 +21,22 @@
 MAX_CLAIM_S = 1.0
 
 
-class KeyPeer(Protocol):
-    """The link to the other process."""
+if TYPE_CHECKING:  # Saves memory.
 
-    def send(self, message: Message) -> None:
-        """Send one message."""
+    class KeyPeer(Protocol):
+        """The link to the other process."""
 
+        def send(self, message: Message) -> None:
+            """Send one message."""
 
-class ArrivalCheck(Protocol):
-    """Returns whether a call that arrived between two times may be begun now, by its order key."""
 
-    def __call__(self, key: str, client: object, after_s: float, by_s: float) -> bool:
-        """Check a call of ``client`` that arrived after ``after_s`` and by ``by_s``."""
+if TYPE_CHECKING:  # Saves memory.
+
+    class ArrivalCheck(Protocol):
+        """Returns whether a call that arrived between two times may be begun, by its key."""
+
+        def __call__(self, key: str, client: object, after_s: float, by_s: float) -> bool:
+            """Check a call of ``client`` that arrived after ``after_s`` and by ``by_s``."""
 
 
 class _Claim:
--- a/umberusher/hot_restart/request_ids.py
+++ b/umberusher/hot_restart/request_ids.py
@@ -20,24 +20,28 @@
 MAX_IDS_PER_REPORT = 1_000
 
 
-class IdPeer(Protocol):
-    """The link to another process."""
+if TYPE_CHECKING:  # Saves memory.
 
-    def send(self, message: Message) -> None:
-        """Send one message."""
+    class IdPeer(Protocol):
+        """The link to another process."""
 
+        def send(self, message: Message) -> None:
+            """Send one message."""
 
-class IdRecord(Protocol):
-    """The ids of non-idempotent requests that are open or may have run in this process."""
 
-    def may_have_run(self, request_id: str) -> bool:
-        """Return whether a request of this id is open or may have run."""
+if TYPE_CHECKING:  # Saves memory.
 
-    def remember(self, request_id: str) -> None:
-        """Remember an id for the time in which it must not run again."""
+    class IdRecord(Protocol):
+        """The ids of non-idempotent requests that are open or may have run in this process."""
 
-    def known_ids(self) -> Iterable[str]:
-        """Return the ids that are open or remembered."""
+        def may_have_run(self, request_id: str) -> bool:
+            """Return whether a request of this id is open or may have run."""
+
+        def remember(self, request_id: str) -> None:
+            """Remember an id for the time in which it must not run again."""
+
+        def known_ids(self) -> Iterable[str]:
+            """Return the ids that are open or remembered."""
 
 
 class RequestIds:
--- a/umberusher/net/loop.py
+++ b/umberusher/net/loop.py
@@ -15,7 +15,7 @@
 import time
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 log = logging.getLogger(__name__)
 
@@ -59,17 +59,19 @@
 Coroutine = Generator[Wait, int, None]
 
 
-class DeferredWork(Protocol):
-    """Work that coroutines queue while they are resumed, and that runs once all of them were.
+if TYPE_CHECKING:  # Saves memory.
 
-    Attributes:
-        is_pending: Whether any work is queued.
-    """
+    class DeferredWork(Protocol):
+        """Work that coroutines queue while they are resumed, and that runs once all of them were.
 
-    is_pending: bool
+        Attributes:
+            is_pending: Whether any work is queued.
+        """
 
-    def run(self) -> None:
-        """Run a bounded part of the work."""
+        is_pending: bool
+
+        def run(self) -> None:
+            """Run a bounded part of the work."""
 
 
 class Timer:
--- a/umberusher/net/memory_account.py
+++ b/umberusher/net/memory_account.py
@@ -11,7 +11,7 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 # Lower bound of the limit, as a fraction of what is available at the start.
 MIN_LIMIT_FRACTION = 1 / 16
@@ -25,20 +25,22 @@
 SMALL_HOLDER_BYTES = 1 << 14
 
 
-class MemoryHolder(Protocol):
-    """A connection, or a group of them, that memory is charged to.
+if TYPE_CHECKING:  # Saves memory.
 
-    Attributes:
-        held_bytes: What is charged to it; changed by the account only.
-    """
+    class MemoryHolder(Protocol):
+        """A connection, or a group of them, that memory is charged to.
+
+        Attributes:
+            held_bytes: What is charged to it; changed by the account only.
+        """
 
-    held_bytes: int
+        held_bytes: int
 
-    def shed_memory(self) -> bool:
-        """Release memory that others need; return False if none can be released now."""
+        def shed_memory(self) -> bool:
+            """Release memory that others need; return False if none can be released now."""
 
-    def memory_available(self) -> None:
-        """Continue after a denied request: memory may be available now."""
+        def memory_available(self) -> None:
+            """Continue after a denied request: memory may be available now."""
 
 
 class MemoryAccount:
--- a/umberusher/pipeline/admission.py
+++ b/umberusher/pipeline/admission.py
@@ -18,26 +18,30 @@
 log = logging.getLogger(__name__)
 
 
-class AttemptCanceller(Protocol):
-    """Gives up attempts in flight."""
+if TYPE_CHECKING:  # Saves memory.
 
-    def give_up(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
-        """Stop waiting for an attempt; end it with this outcome if it may have run."""
+    class AttemptCanceller(Protocol):
+        """Gives up attempts in flight."""
+
+        def give_up(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
+            """Stop waiting for an attempt; end it with this outcome if it may have run."""
 
 
 class NotCoveredError(Exception):
     """No contract can admit the request, now or later; the message gives the reason."""
 
 
-class ContractCheck(Protocol):
-    """Admits requests by their teams' contracts."""
+if TYPE_CHECKING:  # Saves memory.
+
+    class ContractCheck(Protocol):
+        """Admits requests by their teams' contracts."""
 
-    def admit(self, request: Request) -> Rejection | None:
-        """Admit a request, or return its rejection.
+        def admit(self, request: Request) -> Rejection | None:
+            """Admit a request, or return its rejection.
 
-        Raises:
-            NotCoveredError: No contract covers the request.
-        """
+            Raises:
+                NotCoveredError: No contract covers the request.
+            """
 
 
 class RequestAdmission:
--- a/umberusher/pipeline/request_registry.py
+++ b/umberusher/pipeline/request_registry.py
@@ -8,7 +8,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from umberusher.deadlines.account import DeadlineAccount, FinalOutcome
 from umberusher.deadlines.network_delay import NetworkDelays
@@ -30,11 +30,13 @@
 log = logging.getLogger(__name__)
 
 
-class RequestObserver(Protocol):
-    """Is notified of each closed request once it has no attempt in flight."""
+if TYPE_CHECKING:  # Saves memory.
 
-    def request_done(self, request: Request, succeeded: bool) -> None:
-        """Settle a request; ``succeeded`` means that its final answer was its result."""
+    class RequestObserver(Protocol):
+        """Is notified of each closed request once it has no attempt in flight."""
+
+        def request_done(self, request: Request, succeeded: bool) -> None:
+            """Settle a request; ``succeeded`` means that its final answer was its result."""
 
 
 def outcome_of(failure: AttemptFailure) -> AttemptOutcome:
