Bound the watches in one place; rewrite a stall test that could not fail for its reason

Found by reading the change again as somebody on call.

- MAX_WATCHES was kept by one of two callers that open a watch; after a stop of the process the other could go over it.
It is kept where a watch is opened now.
The count of hedges was used as a flag and is one.
Two properties of the client served tests alone; the tests read the watches.
- test_broker_asks_anew_... failed on the code before with AttributeError, and its request had expired by the stop it made, so that nothing could be sent.
- One socket class in place of three in tests/net/test_sockets.py; one reader in tests/faults/proxy.py.

--- a/tests/broker/test_reload_on_sockets.py
+++ b/tests/broker/test_reload_on_sockets.py
@@ -31,4 +31,7 @@
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == [
         "config_reload_failed reason=lacks 'board'"
     ]
-    assert not rig.discovery_peer.ended and rig.broker.discovery.connection.state.value == "open"
+    assert (
+        not rig.discovery_peer.ended
+        and rig.broker.discovery.watches[0].connection.state.value == "open"
+    )
--- a/tests/broker/test_stalls.py
+++ b/tests/broker/test_stalls.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import json
+import select
+import threading
 
 import pytest
 
 from tests.thrift_messages import execute
 from umberusher.decisions.events import RequestArrived
 
+ANSWER_WITHIN_S = 5.0
 STATEMENT = b"select * from park_1.sites"
 
 
@@ -98,8 +101,8 @@
     assert drained_at_timer == [True]
 
 
-def test_broker_asks_anew_before_it_sends_when_it_was_suspended_for_long(rig, monkeypatch):
-    """News that is not in the socket yet counts as announced 7 s after its change."""
+def test_broker_polls_anew_before_it_sends_when_it_was_suspended_for_long(rig):
+    """News that no answer tells of yet counts as announced some time after its change."""
     rig = rig(2)
     peers = open_connections(rig)
     client = rig.client()
@@ -107,16 +110,18 @@
     rig.discovery_peer.received = b""
     send_call(rig, client, "00000000000000aa")
     rig.discovery_peer.sock.send(drain_answer(rig, "s-1"))
-    answer = drain_answer(rig, "s-0")
-    run_prioritized = rig.broker.loop.run_prioritized
-
-    def answer_and_run(is_done, max_wait_ms):
-        assert b"linger=20" in rig.discovery_peer.read()
-        rig.discovery_peer.sock.send(answer)
-        run_prioritized(is_done, max_wait_ms)
-
-    monkeypatch.setattr(rig.broker.loop, "run_prioritized", answer_and_run)
-    rig.now += 8.0
-    rig.advance_ms(100)
-    assert not rig.broker.balancer.up
+    second_answer = drain_answer(rig, "s-0")
+    discovery_sock = rig.discovery_peer.sock
+
+    def answer_next_poll() -> None:
+        readable, _, _ = select.select([discovery_sock], [], [], ANSWER_WITHIN_S)
+        if readable:
+            discovery_sock.send(second_answer)
+
+    answering = threading.Thread(target=answer_next_poll)
+    answering.start()
+    rig.now += 1.5
+    rig.until(lambda: rig.step(0) or not rig.broker.balancer.up)
+    answering.join()
+    rig.step(0)
     assert b"REQ" not in peers["s-0"].read() + peers["s-1"].read()
--- a/tests/discovery/scripted_discovery.py
+++ b/tests/discovery/scripted_discovery.py
@@ -86,8 +86,8 @@
         while rounds > 0:
             self._serve()
             answer_is_partial = (
-                self.client.connection is not None
-                and 0 < self.client.poll_client.answer_bytes < body_bytes
+                len(self.client.watches) > 0
+                and 0 < self.client.watches[-1].poll_client.answer_bytes < body_bytes
             )
             self.loop.step(1 if answer_is_partial else 0)
             if (
--- a/tests/discovery/test_broker_discovery.py
+++ b/tests/discovery/test_broker_discovery.py
@@ -156,11 +156,11 @@
         listener = rig.listeners.pop("board")
         listener.close()
         old_peer.sock.close()
-        rig.until(lambda: rig.advance_ms(20) or client.connection is None)
+        rig.until(lambda: rig.advance_ms(20) or not client.watches)
     elif moment == "connect":
         client._disconnect()
         client.start()
-        assert client.connection.state is State.CONNECTING
+        assert client.watches[-1].connection.state is State.CONNECTING
     elif (
         moment == "answered"
     ):  # its answer is in the socket buffer when the configuration is loaded
--- a/tests/discovery/test_client.py
+++ b/tests/discovery/test_client.py
@@ -51,14 +51,14 @@
     discovery = scripted(LONG)
     discovery.until(lambda: discovery.polled_at_s)
     started_s = discovery.now
-    discovery.until(lambda: discovery.client.connection is None, 50)
+    discovery.until(lambda: not discovery.client.watches, 50)
     assert discovery.now == started_s
 
 
 def test_client_stops_reading_at_the_limit_when_length_is_not_announced(scripted, caplog):
     discovery = scripted(CHUNKED * 1 + b"".join([b"100000\r\n" + b" " * (1 << 20) + b"\r\n"] * 11))
     discovery.until(lambda: discovery.polled_at_s)
-    discovery.until(lambda: discovery.client.connection is None)
+    discovery.until(lambda: not discovery.client.watches)
     assert len(warnings(caplog)) == 1 and "too long" in warnings(caplog)[0] and not discovery.events
 
 
@@ -241,7 +241,7 @@
     remaining, discovery.reply = discovery.reply, b""
     discovery.until(lambda: discovery.polled_at_s)
     step = rate // 20
-    while remaining and discovery.client.connection and discovery.now < 1010:
+    while remaining and discovery.client.watches and discovery.now < 1010:
         for sock in discovery.unsent:
             discovery.unsent[sock] += remaining[:step]
         remaining = remaining[step:]
--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -6,7 +6,7 @@
 import contextlib
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 HOST = "127.0.0.1"
 CHUNK_BYTES = 1 << 16
@@ -96,31 +96,29 @@
     async def _pass_requests(
         self,
         connection: ProxiedConnection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        source: asyncio.StreamReader,
+        target: asyncio.StreamWriter,
     ) -> None:
-        with contextlib.suppress(OSError):
-            while data := await reader.read(CHUNK_BYTES):
-                self.requested(connection, data)
-                if not connection.is_silent:
-                    writer.write(data)
-            self.closed(connection)
+        async for data in _chunks(source):
+            self.requested(connection, data)
+            if not connection.is_silent:
+                target.write(data)
+        self.closed(connection)
 
     async def _pass_answers(
         self,
         connection: ProxiedConnection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        source: asyncio.StreamReader,
+        target: asyncio.StreamWriter,
     ) -> None:
-        with contextlib.suppress(OSError):
-            while data := await reader.read(CHUNK_BYTES):
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
-                if connection.is_silent:
-                    continue
+        async for data in _chunks(source):
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            if not connection.is_silent:
                 self.answered(connection, data)
-                writer.write(data)
+                target.write(data)
         if connection.is_silent:
+            # The broker must not notice the end.
             await asyncio.Event().wait()
 
     # -- Hooks of subclasses
@@ -139,3 +137,10 @@
 
     def closed(self, connection: ProxiedConnection) -> None:
         """Handle a connection that the broker has closed."""
+
+
+async def _chunks(source: asyncio.StreamReader) -> AsyncIterator[bytes]:
+    """Yield what arrives until the connection ends or fails."""
+    with contextlib.suppress(OSError):
+        while data := await source.read(CHUNK_BYTES):
+            yield data
--- a/tests/net/test_sockets.py
+++ b/tests/net/test_sockets.py
@@ -25,7 +25,7 @@
     rig.until(lambda: rig.broker.admin.sessions)
     conns = [
         newest_client_connection(rig).connection,
-        rig.broker.discovery.connection,
+        rig.broker.discovery.watches[0].connection,
         next(iter(rig.broker.admin.sessions)).connection,
         *(
             link.transport
@@ -38,6 +38,23 @@
     admin_client.sock.close()
 
 
+class SocketWithFailingAccept(socket.socket):
+    """A listening socket whose first calls of ``accept`` fail."""
+
+    def __init__(self, error_number: int, failures: int) -> None:
+        super().__init__()
+        self.error_number = error_number
+        self.remaining_failures = failures
+        self.bind(("127.0.0.1", 0))
+        self.listen()
+
+    def accept(self):
+        if self.remaining_failures:
+            self.remaining_failures -= 1
+            raise OSError(self.error_number, "for a moment")
+        return super().accept()
+
+
 def test_listener_continues_when_one_connection_setup_fails():
     """An exception of ``on_accepted`` ended the accepting coroutine: no client was accepted later."""
     loop, sock, accepted_sockets = Loop(), socket.create_server(("127.0.0.1", 0)), []
@@ -67,18 +84,7 @@
     now = [0.0]
     loop, accepted_sockets, shortage_times = Loop(lambda: now[0]), [], []
 
-    class SocketWithFailingAccept(socket.socket):
-        remaining_failures = 2
-
-        def accept(self):
-            if self.remaining_failures:
-                self.remaining_failures -= 1
-                raise OSError(errno.EMFILE, "too many")
-            return super().accept()
-
-    sock = SocketWithFailingAccept()
-    sock.bind(("127.0.0.1", 0))
-    sock.listen()
+    sock = SocketWithFailingAccept(errno.EMFILE, failures=2)
     listener = Listener(
         loop, sock, 4, accepted_sockets.append, lambda: shortage_times.append(now[0])
     )
@@ -167,18 +173,7 @@
     now = [0.0]
     loop, accepted_sockets, reports = Loop(lambda: now[0]), [], []
 
-    class SocketWithFailingAccept(socket.socket):
-        remaining_failures = 3
-
-        def accept(self):
-            if self.remaining_failures:
-                self.remaining_failures -= 1
-                raise OSError(error_number, "for a moment")
-            return super().accept()
-
-    sock = SocketWithFailingAccept()
-    sock.bind(("127.0.0.1", 0))
-    sock.listen()
+    sock = SocketWithFailingAccept(error_number, failures=3)
     listener = Listener(loop, sock, 4, accepted_sockets.append, lambda: reports.append(now[0]))
     listener.set_paused(False)
     peers = [socket.create_connection(sock.getsockname()) for _ in range(3)]
@@ -196,18 +191,7 @@
     """What is still pending when a listener closes is reset, with the requests on it."""
     loop, accepted_sockets = Loop(), []
 
-    class SocketWithFailingAccept(socket.socket):
-        remaining_failures = 5
-
-        def accept(self):
-            if self.remaining_failures:
-                self.remaining_failures -= 1
-                raise OSError(error_number, "for a moment")
-            return super().accept()
-
-    sock = SocketWithFailingAccept()
-    sock.bind(("127.0.0.1", 0))
-    sock.listen()
+    sock = SocketWithFailingAccept(error_number, failures=5)
     listener = Listener(loop, sock, 2, accepted_sockets.append, lambda: None)
     listener.set_paused(False)
     peers = [socket.create_connection(sock.getsockname()) for _ in range(5)]
--- a/umberusher/discovery/client.py
+++ b/umberusher/discovery/client.py
@@ -21,7 +21,7 @@
 
 from umberusher.discovery.backoff import PollBackoff, max_unusable_backoff_ms
 from umberusher.discovery.watch import PollAnswer, Watch
-from umberusher.net.connection import ConnectError, Connection
+from umberusher.net.connection import ConnectError
 from umberusher.net.loop import Loop, Timer
 from umberusher.net.ring import RingMemory
 from umberusher.protocol.discovery import (
@@ -29,7 +29,6 @@
     DiscoveryProtocolError,
     WatchEvent,
 )
-from umberusher.protocol.discovery_poll import PollClient
 
 log = logging.getLogger(__name__)
 
@@ -120,31 +119,21 @@
         self.watches: list[Watch] = []
         self.backoff = PollBackoff()
         self._opened_count = 0
-        # Watches that were opened because an answer was overdue, since the last answer.
-        self._unanswered_hedges = 0
+        # Whether a watch was opened for an overdue answer, and none has answered since.
+        self._is_hedging = False
         self._answer_count = 0
         self._is_refreshing = False  # the next poll has to be answered soon
         self._timer: Timer | None = None  # opens the next watch, or polls after a pause
         self._logged_causes: set[str] = set()
 
-    @property
-    def connection(self) -> Connection | None:
-        """The connection of the watch that was opened last; None without one."""
-        return self.watches[-1].connection if self.watches else None
-
-    @property
-    def poll_client(self) -> PollClient:
-        """The HTTP codec of that connection."""
-        if self.watches:
-            return self.watches[-1].poll_client
-        return PollClient("", self.max_answer_bytes)
-
     # -- Lifecycle
 
     def start(self) -> None:
         """Open a watch, which polls once it is connected."""
         if self.state is DiscoveryState.CLOSED:
             return
+        if len(self.watches) >= MAX_WATCHES:
+            self._close(min(self.watches, key=lambda watch: watch.polled_at_s))
         self._opened_count += 1
         try:
             watch = Watch(
@@ -172,7 +161,7 @@
             return
         self.address = address
         self.backoff.reset()
-        self._unanswered_hedges = 0
+        self._is_hedging = False
         self._logged_causes.clear()
         self._disconnect()
         self.start()
@@ -220,7 +209,7 @@
         self._timer = self.loop.call_later(wait_ms, self._on_overdue)
 
     def _overdue_after_ms(self) -> float:
-        return OVERDUE_AFTER_MS if not self._unanswered_hedges else MAX_OVERDUE_AFTER_MS
+        return MAX_OVERDUE_AFTER_MS if self._is_hedging else OVERDUE_AFTER_MS
 
     def _newest_watch(self) -> Watch:
         """Return the watch with the newest poll or connection attempt."""
@@ -247,9 +236,7 @@
             self._close(newest)
             self._retry_connection(SILENT)
             return
-        if len(self.watches) >= MAX_WATCHES:
-            self._close(min(self.watches, key=lambda watch: watch.polled_at_s))
-        self._unanswered_hedges += 1
+        self._is_hedging = True
         self.start()
 
     def _close_timed_out(self, answered: Watch | None = None) -> None:
@@ -311,7 +298,7 @@
         superseded = self._is_superseded(watch)
         self.has_answered = True
         self._answer_count += 1
-        self._unanswered_hedges = 0
+        self._is_hedging = False
         watch.has_answered = True
         self.backoff.answer_received()
         if regressed:
