--- a/tests/faults/shim.py
+++ b/tests/faults/shim.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import errno
+import io
 import json
 import os
 import random
@@ -33,6 +34,8 @@
 )
 SOCKET_ERRORS = (errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 CONNECT_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ETIMEDOUT)
+# Of writes to a folder and to the log, and of open and rename there.
+FOLDER_ERRORS = (errno.ENOSPC, errno.EIO)
 BROKEN_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET)
 # Failures come in moments: this part of each period, and only then.
 PERIOD_S = 1.0
@@ -44,6 +47,7 @@
 RANDOM = random.Random(FAULTS.get("seed", 0))
 STARTED_S = time.monotonic()
 REAL_TIME = time.time
+REAL_RENAME = os.rename
 
 
 def fails(name: str) -> bool:
@@ -55,6 +59,11 @@
     return RANDOM.random() < probability
 
 
+def folder_fails() -> bool:
+    """Return whether a write to a folder fails: for a while of the run, and from its start."""
+    return RANDOM.random() < FAULTS.get("folder", 0.0)
+
+
 def clock_step_s() -> float:
     """Return by how much the wall clock has been stepped: another step each two seconds."""
     size_s = FAULTS.get("clock", 0.0)
@@ -79,6 +88,12 @@
             raise OSError(RANDOM.choice(SOCKET_ERRORS), "shim")
         super().__init__(*args, **kwargs)
 
+    def bind(self, address: Any) -> None:
+        """Bind; a path in a folder may fail from the start."""
+        if self.family == socket.AF_UNIX and folder_fails():
+            raise OSError(RANDOM.choice(FOLDER_ERRORS), "shim")
+        super().bind(address)
+
     def accept(self) -> Any:
         """Accept, or fail."""
         if fails("accept"):
@@ -124,6 +139,24 @@
             raise OSError(RANDOM.choice(BROKEN_ERRORS), "shim")
 
 
+class FailingLog(io.TextIOWrapper):
+    """A log on a full or broken disk: writes fail, and one may leave a line half done."""
+
+    def write(self, text: str) -> int:
+        """Write the text, or a part of it and fail."""
+        if not folder_fails():
+            return super().write(text)
+        super().write(text[: len(text) // 2])
+        raise OSError(RANDOM.choice(FOLDER_ERRORS), "shim")
+
+
+def failing_rename(source: Any, target: Any, **options: Any) -> None:
+    """Rename, or fail."""
+    if folder_fails():
+        raise OSError(RANDOM.choice(FOLDER_ERRORS), "shim")
+    REAL_RENAME(source, target, **options)
+
+
 def _stepped(item: tuple[int, int, bytes]) -> tuple[int, int, bytes]:
     """Return a control message whose timestamp follows the stepped clock."""
     level, kind, data = item
@@ -142,6 +175,9 @@
     if FAULTS.get("clock"):
         time.time = stepped_time
     socket.socket = FaultySocket  # type: ignore[misc]
+    if FAULTS.get("folder"):
+        os.rename = failing_rename
+        sys.stderr = FailingLog(sys.stderr.buffer, line_buffering=True)
     sys.argv = ["umberusher", *sys.argv[1:]]
     runpy.run_module("umberusher", run_name="__main__")
 
--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -21,12 +21,13 @@
 import tempfile
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from review.common import rig
 from tests.faults.announcements import Announcements
+from tests.faults.kinds import KINDS, FaultKind
 from tests.faults.proxy import FaultProxy
 from tests.faults.rules import Breach, EngineRun, RuleChecker, SentRequest, StateChange
 from tests.faults.watch_proxy import WatchProxy
@@ -41,61 +42,15 @@
 CLASS_WEIGHTS = {"lookup": 0.9, "report": 0.07, "load": 0.03}
 CANCEL_PROBABILITY = 0.02
 GRACE_S = 0.25
-# The longest deadline of the deployment, counted as 3 s at most, and 0.7 s: the earliest SIGKILL.
-KILL_AFTER_S = 3.7
+# The earliest SIGKILL: the longest deadline of the deployment, counted as 3 s at most, and this.
+MAX_COUNTED_DEADLINE_S = 3.0
+KILL_AFTER_DEADLINE_S = 0.7
 BROKER_PORTS = (20_000, 32_000)
 CONNECTS_AFTER_TERM_S = 0.3
 STATEMENT = b"select slot from sales_17.orders where site = 4"
 LOAD_STATEMENT = b"insert into sales_17.orders select * from staging.orders"
 
 
-@dataclass(frozen=True, slots=True)
-class FaultKind:
-    """One kind of fault.
-
-    Attributes:
-        name: Its name on the command line.
-        shim: The system calls that fail, with their probability in a moment; or the size of the
-            steps of the wall clock, in seconds.
-        actions: What the player does at random times.
-        interval_s: The shortest and the longest time between two of them.
-        service_delay_s: The longest time by which discovery answers late.
-        new_connections_per_s: Connections that send one request each.
-    """
-
-    name: str
-    shim: dict[str, float] = field(default_factory=dict)
-    actions: tuple[str, ...] = ()
-    interval_s: tuple[float, float] = (1.0, 3.0)
-    service_delay_s: float = 0.0
-    new_connections_per_s: float = 2.0
-
-
-KINDS = (
-    FaultKind("none"),
-    FaultKind("silent", actions=("silence_watches",), interval_s=(4.0, 8.0)),
-    FaultKind("break", actions=("reset_watches",), interval_s=(0.5, 3.0)),
-    FaultKind("slow", actions=("delay_watches",), interval_s=(0.7, 2.5), service_delay_s=1.6),
-    FaultKind("stop", actions=("stop_process",), interval_s=(2.0, 5.0)),
-    FaultKind("accept", {"accept": 0.5}, new_connections_per_s=30.0),
-    FaultKind("clock", {"clock": 3600.0}),
-    FaultKind("clock-small", {"clock": 5.0}, ("silence_watches",), (4.0, 8.0)),
-    FaultKind("short", {"short": 0.5}),
-    FaultKind("broken", {"broken": 0.02}),
-    FaultKind("connect", {"connect": 0.5, "socket": 0.3}, ("reset_watches", "reset_engine")),
-    FaultKind("engines", actions=("reset_engine", "silence_engine"), interval_s=(0.5, 2.0)),
-    FaultKind("hangup", actions=("move_discovery",), interval_s=(0.6, 6.0)),
-    FaultKind("term", actions=("restart",), interval_s=(6.0, 9.0)),
-    FaultKind(
-        "mixed",
-        {"accept": 0.2, "short": 0.1, "broken": 0.005, "connect": 0.1, "clock": 60.0},
-        ("silence_watches", "reset_watches", "stop_process", "reset_engine", "move_discovery"),
-        (1.0, 3.0),
-        new_connections_per_s=10.0,
-    ),
-)
-
-
 @dataclass(slots=True)
 class SoakReport:
     """What one run has shown."""
@@ -220,11 +175,21 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "board": f"{rig.HOST}:{self._watches.port}",
             "known": self._board.document(),
-            "settings": rig.small_settings(),
+            "settings": self._settings(),
         }
         path = self._folder / "config.json"
         path.write_text(json.dumps(config), encoding="utf-8")
 
+    def _settings(self) -> dict[str, Any]:
+        settings = rig.small_settings()
+        longest_ms = self._kind.longest_deadline_s * 1000
+        for grade in settings["grades"]:
+            grade["deadline_ms"] = min(grade["deadline_ms"], longest_ms)
+        return settings
+
+    def _budget_s(self, query_class: str) -> float:
+        return min(BUDGETS_S[query_class], 0.95 * self._kind.longest_deadline_s)
+
     def _start_process(self) -> None:
         environment = {key: value for key, value in os.environ.items() if key[:3] != "LB_"}
         environment |= {
@@ -295,12 +260,24 @@
             tasks.add(task)
             task.add_done_callback(tasks.discard)
 
+    async def _idle_client(self) -> None:
+        """Keep an idle connection open: it connects again once the broker has closed it."""
+        while True:
+            await self._accepts_new.wait()
+            client = rig.Client(self._record, "idle")
+            with contextlib.suppress(OSError):
+                await client.connect(self._port)
+                while client.closed_at is None and self._is_up.is_set():
+                    await asyncio.sleep(0.5)
+                client.close()
+            await asyncio.sleep(self._random.uniform(0.2, 1.0))
+
     async def _send(self, client: rig.Client, is_first: bool) -> None:
         [query_class] = self._random.choices([*CLASS_WEIGHTS], [*CLASS_WEIGHTS.values()])
         is_load = query_class == "load"
         key = f"{self._random.getrandbits(64):016x}" if is_load else None
         call = await client.execute(
-            query_class, BUDGETS_S[query_class], LOAD_STATEMENT if is_load else STATEMENT, key
+            query_class, self._budget_s(query_class), LOAD_STATEMENT if is_load else STATEMENT, key
         )
         request = SentRequest(call.request_id, query_class, call.sent_at, call.budget_s, is_first)
         self.checker.requests[call.request_id] = request
@@ -376,7 +353,9 @@
         self._process.send_signal(signal.SIGTERM)
         await asyncio.sleep(CONNECTS_AFTER_TERM_S)
         self._accepts_new.clear()
-        give_up_s = time.time() + KILL_AFTER_S - CONNECTS_AFTER_TERM_S
+        deadline_s = min(self._kind.longest_deadline_s, MAX_COUNTED_DEADLINE_S)
+        kill_after_s = deadline_s + KILL_AFTER_DEADLINE_S
+        give_up_s = time.time() + kill_after_s - CONNECTS_AFTER_TERM_S
         while self._process.poll() is None and time.time() < give_up_s:
             await asyncio.sleep(0.02)
         self._is_up.clear()
@@ -385,7 +364,8 @@
             self._process.kill()
             self._process.wait()
             for request in self.checker.requests.values():
-                came_before_s = killed_at_s - KILL_AFTER_S + 0.7
+                # Requests that came later than 0.7 s after SIGTERM have to be answered by then.
+                came_before_s = killed_at_s - deadline_s
                 if not request.answers and request.sent_s < came_before_s:
                     request.may_be_cut = True
         elif self._process.returncode != 0:
@@ -416,6 +396,7 @@
         try:
             await self._await_ready()
             tasks = [asyncio.create_task(self._usual_client()) for _ in range(CLIENT_COUNT)]
+            tasks += [asyncio.create_task(self._idle_client()) for _ in range(self._kind.crowd)]
             tasks.append(asyncio.create_task(self._short_clients(short_tasks)))
             tasks.append(asyncio.create_task(self._change_often()))
             tasks.append(asyncio.create_task(self._measure_lag()))
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from tests.faults.soak import KINDS
+from tests.faults.kinds import KINDS
 
 ROOT = Path(__file__).resolve().parents[2]
 SEED = 51
