Count a first call from the shortage in which its connection waited to be accepted

Cause: a call counts from the poll that reports it, but a connection that waits in the backlog while accept fails is reported by none.

Change: the listener keeps when accepting first failed for a shortage, and the first call of a connection that was accepted before the backlog was empty again counts from then, unless it was read later.

--- a/tests/deadlines/test_deadlines_at_sockets.py
+++ b/tests/deadlines/test_deadlines_at_sockets.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 
+import pytest
+
 from tests.thrift_messages import execute
 from umberusher.decisions.events import AttemptEnded, AttemptOutcome
 from umberusher.net.loop import MAX_TIMERS_PER_STEP, Loop
@@ -141,6 +144,46 @@
     assert rig.broker.registry.requests[rid].budget.remaining_ms(rig.broker.now_ms()) > 1_900
 
 
+@pytest.mark.parametrize("waits_before_call", [False, True])
+def test_first_call_counts_from_a_shortage_in_which_its_connection_waited(rig, waits_before_call):
+    """Its engine was told of time that had passed while accept failed."""
+    rig = rig()
+    listener = rig.broker.frontend.listener
+    accept = listener.sock.accept
+    listener.sock = FailingAccept(listener.sock)
+    client = rig.client()
+    if not waits_before_call:
+        send_lookup(client)
+    rig.advance_ms(300)
+    listener.sock.accept = accept
+    rig.advance_ms(100)
+    if waits_before_call:
+        rig.advance_ms(1_000)
+        send_lookup(client)
+    rig.until(lambda: "a" * 16 in rig.broker.registry.requests)
+    request = rig.broker.registry.requests["a" * 16]
+    remaining_ms = request.budget.remaining_ms(rig.broker.now_ms())
+    assert (remaining_ms > 1_850) if waits_before_call else (1_500 < remaining_ms <= 1_700)
+
+
+class FailingAccept:
+    """A listening socket whose accept fails for a shortage of the system."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+
+    def accept(self):
+        raise OSError(errno.ENFILE, "for a moment")
+
+    def __getattr__(self, name: str):
+        return getattr(self._sock, name)
+
+
+def send_lookup(client) -> None:
+    fields = {"method": "lookup", "rid": "a" * 16, "budget": "2000"}
+    client.sock.send(execute(1, fields, b"select * from park_1.sites"))
+
+
 def test_thousands_of_timers_in_one_millisecond_are_spread_over_loop_steps():
     now, fired = [0.0], []
     loop = Loop(lambda: now[0])
--- a/umberusher/frontend/client_connection.py
+++ b/umberusher/frontend/client_connection.py
@@ -53,6 +53,7 @@
 BYTES_PER_TURN_UNIT = 256
 # A field's text takes up to this many bytes for each byte on the wire.
 MAX_BYTES_PER_TEXT_BYTE = 4
+MS_PER_S = 1000.0
 # Memory of an answer that waits to be written, beside its bytes.
 ANSWER_OVERHEAD_BYTES = 256
 # A connection that holds more than this fraction of the memory for peers has calls queued, not
@@ -95,6 +96,9 @@
         memory_shedder: MemoryShedder
         max_frame_bytes: int
 
+        def take_waited_since_s(self, client: ClientConnection) -> float | None:
+            """Return since when a client's first call may have waited for its connection, once."""
+
         def remove_client(self, client: ClientConnection) -> None:
             """Forget a client whose connection has closed or was handed over."""
 
@@ -248,6 +252,7 @@
 
     def process_frame(self, frame: bytes | thrift.Malformed) -> None:
         """Accept, defer or cancel the call that a frame holds."""
+        waited_since_s = None if self.has_called else self._frontend.take_waited_since_s(self)
         self.has_called = True
         self.incomplete_since_ms = None
         if isinstance(frame, thrift.Malformed):
@@ -261,20 +266,28 @@
         elif self.write_blocked:
             self._defer(call)
         else:
-            self._accept_call(call, self._arrival(), len(frame))
+            self._accept_call(call, self._arrival(waited_since_s), len(frame))
 
     def _leave_input(self) -> None:
         """Leave complete frames in the buffer, and remember since when they may be here."""
         self.connection.holds |= HOLD_FOR_TURN
         self.connection.buffered_since_s = self.connection.received_after_s
 
-    def _arrival(self) -> Arrival:
-        """Return when the frame that was just taken from the inbound ring arrived."""
+    def _arrival(self, waited_since_s: float | None = None) -> Arrival:
+        """Return when the frame that was just taken from the inbound ring arrived.
+
+        Args:
+            waited_since_s: Since when it may have waited for its connection to be accepted.
+        """
         received = self.connection
         after_s = received.received_after_s
         if received.last_byte_is_timed and not len(received.inbound):
             after_s = received.received_by_s
-        return Arrival(self._frontend.arrived_ms(), after_s, received.received_by_s)
+        counted_from_ms = self._frontend.arrived_ms()
+        if waited_since_s is not None:
+            waited_s = received.loop.clock() - max(waited_since_s, after_s)
+            counted_from_ms = min(counted_from_ms, self._frontend.now_ms() - waited_s * MS_PER_S)
+        return Arrival(counted_from_ms, after_s, received.received_by_s)
 
     def _defer(self, call: Call) -> None:
         if self.deferred_calls is None:
--- a/umberusher/frontend/thrift_frontend.py
+++ b/umberusher/frontend/thrift_frontend.py
@@ -113,6 +113,9 @@
         )
         self.clients: dict[ClientConnection, None] = {}
         self.closing: dict[Connection, None] = {}
+        # Since when the connections that were accepted after a shortage may have waited, until
+        # their first call.
+        self._waited_since_s: dict[ClientConnection, float] = {}
         self.listener: Listener | None = None
         self.additional_listeners: list[Listener] = []
         self.peer_client_count = 0
@@ -155,7 +158,7 @@
 
     def _listener_of(self, sock: socket.socket) -> Listener:
         def accept_client(accepted: socket.socket) -> None:
-            self._accept_client(accepted, listener.backlog_since_s)
+            self._accept_client(accepted, listener.backlog_since_s, listener.shortage_since_s)
 
         listener = Listener(self.loop, sock, ACCEPT_BATCH_SIZE, accept_client, self._evict)
         return listener  # noqa: RET504  (the function above needs the name)
@@ -188,7 +191,9 @@
 
     # -- Clients
 
-    def _accept_client(self, sock: socket.socket, established_after_s: float) -> None:
+    def _accept_client(
+        self, sock: socket.socket, established_after_s: float, waited_since_s: float | None
+    ) -> None:
         """Serve an accepted socket, or close it if descriptors are short.
 
         Keeps free the descriptors that engines and discovery need.
@@ -196,6 +201,7 @@
         Args:
             sock: The socket.
             established_after_s: The loop's time after which its client has connected.
+            waited_since_s: Since when it may have waited in a shortage; None without one.
         """
         own_max = max(
             self.max_clients - self.peer_client_count,
@@ -206,7 +212,13 @@
             log.warning("client_rejected reason=too_many_clients clients=%d", len(self.clients))
             sock.close()
             return
-        self._add_client(sock, established_after_s)
+        client = self._add_client(sock, established_after_s)
+        if waited_since_s is not None:
+            self._waited_since_s[client] = waited_since_s
+
+    def take_waited_since_s(self, client: ClientConnection) -> float | None:
+        """Return since when a client's first call may have waited for its connection, once."""
+        return self._waited_since_s.pop(client, None)
 
     def _add_client(self, sock: socket.socket, established_after_s: float) -> ClientConnection:
         inbound_bytes = self.max_frame_bytes + FRAME_HEADER_BYTES
@@ -236,6 +248,7 @@
     def remove_client(self, client: ClientConnection) -> None:
         """Remove a client; track its connection until it has closed and freed its descriptor."""
         self.clients.pop(client, None)
+        self._waited_since_s.pop(client, None)
         transport = client.connection
         if transport.state is State.CLOSING:
             self.closing[transport] = None
--- a/umberusher/net/listener.py
+++ b/umberusher/net/listener.py
@@ -27,6 +27,8 @@
         paused: Whether nothing is accepted.
         backlog_since_s: The connections that are accepted now were established after this time of
             the loop.
+        shortage_since_s: When accepting failed for a shortage; pending connections may have waited
+            since then. None once all of them were accepted.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         self.sock = sock
         self.paused = True
         self.backlog_since_s = -math.inf
+        self.shortage_since_s: float | None = None
         # Connections may have been pending since then, when the loop made this poll.
         self._unaccepted_since_s = -math.inf
         self._unaccepted_at_poll = 0
@@ -105,6 +108,7 @@
             except OSError as error:
                 failure = classify_accept_error(error.errno)
                 if failure is ErrorClass.NOTHING_READY:
+                    self.shortage_since_s = None
                     return failure
                 reason = errno.errorcode.get(error.errno or 0, error.errno)
                 log.warning("accept_failed error=%s class=%r", reason, failure.value)
@@ -113,6 +117,8 @@
                 if failure is ErrorClass.DESCRIPTORS_EXHAUSTED:
                     self._on_descriptors_exhausted()
                 self._keep_backlog()
+                if self.shortage_since_s is None:
+                    self.shortage_since_s = self._loop.clock()
                 return failure
             try:
                 self._on_accepted(accepted)
